--- /dev/null
+++ b/apps/program_options.h
@@ -0,0 +1,42 @@
+#ifndef REDWING_APPS_PROGRAM_OPTIONS_H_
+#define REDWING_APPS_PROGRAM_OPTIONS_H_
+
+#include <CLI/CLI.hpp>
+#include <string>
+
+namespace redwing {
+
+// Exit codes of all programs.
+enum ExitCode : int {
+  kExitOk = 0,
+  kExitFailed = 1,       // the operation failed or was refused
+  kExitUsage = 2,        // wrong command line
+  kExitBadSettings = 3,  // settings or document not valid
+};
+
+// Adds --version, and the help text's footer with the exit codes.
+inline void AddCommonOptions(CLI::App& app) {
+  app.set_version_flag("--version", REDWING_VERSION);
+  app.footer(
+      "Exit codes: 0 done, 1 failed or refused, 2 wrong command line, "
+      "3 settings or document not valid.");
+}
+
+// Parses the command line. Returns whether to go on; otherwise the exit code
+// is in `code`.
+inline bool ParseCommandLine(CLI::App& app,
+                             int argc,
+                             char** argv,
+                             int* code) {
+  try {
+    app.parse(argc, argv);
+    return true;
+  } catch (const CLI::ParseError& error) {
+    *code = app.exit(error) == 0 ? kExitOk : kExitUsage;
+    return false;
+  }
+}
+
+}  // namespace redwing
+
+#endif  // REDWING_APPS_PROGRAM_OPTIONS_H_
--- /dev/null
+++ b/src/budget/demand_meter.h
@@ -0,0 +1,28 @@
+#ifndef REDWING_BUDGET_DEMAND_METER_H_
+#define REDWING_BUDGET_DEMAND_METER_H_
+
+#include "framework/kernel/clock.h"
+
+namespace redwing {
+
+// Estimates how many units a second are asked for, admitted or not. Rises at
+// once with the demand and falls slowly.
+class DemandMeter {
+ public:
+  void Add(double amount) { pending_ += amount; }
+
+  // Takes what was added since the last call into the estimate.
+  void Update(TimePoint now);
+
+  // Units a second.
+  double rate() const { return rate_; }
+
+ private:
+  double pending_ = 0;
+  double rate_ = 0;
+  TimePoint updated_at_;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_BUDGET_DEMAND_METER_H_
--- /dev/null
+++ b/src/budget/internal/budget_account.h
@@ -0,0 +1,48 @@
+#ifndef REDWING_BUDGET_INTERNAL_BUDGET_ACCOUNT_H_
+#define REDWING_BUDGET_INTERNAL_BUDGET_ACCOUNT_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <memory>
+#include <string>
+
+#include "budget/demand_meter.h"
+#include "budget/share_bucket.h"
+
+namespace redwing {
+
+// A request waiting for tokens.
+struct TokenWaiter {
+  TokenWaiter(boost::asio::io_context& io, double wanted)
+      : timer(io), amount(wanted) {}
+
+  boost::asio::steady_timer timer;
+  double amount;
+  bool granted = false;
+};
+
+// One budget on this instance: its bucket, its demand, its queue.
+struct BudgetAccount {
+  BudgetAccount(const BudgetSpec& spec, TimePoint now) : bucket(spec, now) {}
+
+  ShareBucket bucket;
+  DemandMeter demand;
+  std::deque<std::shared_ptr<TokenWaiter>> waiters;
+  double waiting_amount = 0;
+  // Largest single amount asked for lately.
+  double largest_amount = 0;
+  TimePoint last_used;
+  double spent = 0;
+  double refused = 0;
+
+  // Takes a request for tokens into the demand.
+  void NoteDemand(double amount, TimePoint now);
+  // Units a second that this instance needs to keep up with its demand.
+  double NeededRate() const;
+  // Share of the budget with which it could, at most 1.
+  double NeededShare() const;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_BUDGET_INTERNAL_BUDGET_ACCOUNT_H_
--- /dev/null
+++ b/src/budget/internal/demand_meter.cc
@@ -0,0 +1,29 @@
+#include "budget/demand_meter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace redwing {
+
+namespace {
+constexpr double kSmoothingSeconds = 0.3;
+constexpr double kMaxGapSeconds = 10;
+}  // namespace
+
+void DemandMeter::Update(TimePoint now) {
+  if (updated_at_ == TimePoint()) {
+    updated_at_ = now;
+    return;
+  }
+  const double seconds =
+      std::min(kMaxGapSeconds, ToSeconds(now - updated_at_));
+  if (seconds <= 0) {
+    return;
+  }
+  const double keep = std::exp(-seconds / kSmoothingSeconds);
+  rate_ = rate_ * keep + pending_ / seconds * (1 - keep);
+  pending_ = 0;
+  updated_at_ = now;
+}
+
+}  // namespace redwing
--- /dev/null
+++ b/src/budget/internal/lease_messages.h
@@ -0,0 +1,40 @@
+#ifndef REDWING_BUDGET_INTERNAL_LEASE_MESSAGES_H_
+#define REDWING_BUDGET_INTERNAL_LEASE_MESSAGES_H_
+
+#include <cstdint>
+#include <string>
+
+namespace redwing {
+
+// Asks a peer to lend a part of a budget, or to extend a lease.
+struct LeaseRequest {
+  uint64_t request_id = 0;
+  // Lease to extend; 0 asks for a new one.
+  uint64_t lease_id = 0;
+  std::string budget;
+  double share = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(request_id, lease_id, budget, share);
+  }
+};
+
+// Grants a request. The lease ends for the borrower `duration_ms` after it
+// sent the request.
+struct LeaseGrant {
+  uint64_t request_id = 0;
+  uint64_t lease_id = 0;
+  double share = 0;
+  double tokens = 0;
+  uint32_t duration_ms = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(request_id, lease_id, share, tokens, duration_ms);
+  }
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_BUDGET_INTERNAL_LEASE_MESSAGES_H_
--- /dev/null
+++ b/src/budget/internal/share_bucket.cc
@@ -0,0 +1,151 @@
+#include "budget/share_bucket.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace redwing {
+
+namespace {
+
+double SumOfShares(const std::vector<ShareLease>& leases) {
+  return std::accumulate(
+      leases.begin(), leases.end(), 0.0,
+      [](double sum, const ShareLease& lease) { return sum + lease.share; });
+}
+
+TimePoint FirstEnd(const std::vector<ShareLease>& leases, TimePoint none) {
+  TimePoint first = none;
+  for (const ShareLease& lease : leases) {
+    first = std::min(first, lease.until);
+  }
+  return first;
+}
+
+void RemoveEnded(std::vector<ShareLease>* leases, TimePoint now) {
+  leases->erase(
+      std::remove_if(
+          leases->begin(), leases->end(),
+          [now](const ShareLease& lease) { return lease.until <= now; }),
+      leases->end());
+}
+
+bool Extend(std::vector<ShareLease>* leases, uint64_t id, TimePoint until) {
+  const auto lease =
+      std::find_if(leases->begin(), leases->end(),
+                   [id](const ShareLease& l) { return l.id == id; });
+  if (lease == leases->end()) {
+    return false;
+  }
+  lease->until = std::max(lease->until, until);
+  return true;
+}
+
+}  // namespace
+
+ShareBucket::ShareBucket(BudgetSpec spec, TimePoint now)
+    : spec_(std::move(spec)), updated_at_(now) {}
+
+void ShareBucket::SetSpec(const BudgetSpec& spec, TimePoint now) {
+  Advance(now);
+  spec_ = spec;
+  Clamp();
+}
+
+void ShareBucket::SetOwnShare(double share, TimePoint now) {
+  Advance(now);
+  own_share_ = share;
+  Clamp();
+}
+
+double ShareBucket::own_share() const {
+  return std::max(own_share_, lent_share());
+}
+
+double ShareBucket::lent_share() const {
+  return SumOfShares(lent_);
+}
+
+double ShareBucket::borrowed_share() const {
+  return SumOfShares(borrowed_);
+}
+
+double ShareBucket::EffectiveShare() const {
+  return std::max(0.0, own_share_ - lent_share()) + borrowed_share();
+}
+
+bool ShareBucket::TrySpend(double amount, TimePoint now) {
+  Advance(now);
+  if (tokens_ < amount) {
+    return false;
+  }
+  tokens_ -= amount;
+  return true;
+}
+
+double ShareBucket::Tokens(TimePoint now) {
+  Advance(now);
+  return tokens_;
+}
+
+double ShareBucket::Lend(const ShareLease& lease, TimePoint now) {
+  Advance(now);
+  const double effective = EffectiveShare();
+  const double tokens =
+      effective > 0 ? tokens_ * std::min(1.0, lease.share / effective) : 0;
+  tokens_ -= tokens;
+  lent_.push_back(lease);
+  Clamp();
+  return tokens;
+}
+
+bool ShareBucket::ExtendLent(uint64_t id, TimePoint until, TimePoint now) {
+  Advance(now);
+  return lent_share() <= own_share_ && Extend(&lent_, id, until);
+}
+
+void ShareBucket::Borrow(const ShareLease& lease,
+                         double tokens,
+                         TimePoint now) {
+  Advance(now);
+  if (lease.until <= now) {
+    return;
+  }
+  borrowed_.push_back(lease);
+  tokens_ += tokens;
+  Clamp();
+}
+
+bool ShareBucket::ExtendBorrowed(uint64_t id, TimePoint until, TimePoint now) {
+  Advance(now);
+  return Extend(&borrowed_, id, until);
+}
+
+void ShareBucket::Advance(TimePoint now) {
+  TimePoint next = std::min(FirstEnd(lent_, now), FirstEnd(borrowed_, now));
+  while (next < now) {
+    Accrue(next);
+    RemoveEnded(&lent_, next);
+    RemoveEnded(&borrowed_, next);
+    Clamp();
+    next = std::min(FirstEnd(lent_, now), FirstEnd(borrowed_, now));
+  }
+  Accrue(now);
+  RemoveEnded(&lent_, now);
+  RemoveEnded(&borrowed_, now);
+  Clamp();
+}
+
+void ShareBucket::Accrue(TimePoint until) {
+  if (until <= updated_at_) {
+    return;
+  }
+  tokens_ += Rate() * ToSeconds(until - updated_at_);
+  updated_at_ = until;
+  Clamp();
+}
+
+void ShareBucket::Clamp() {
+  tokens_ = std::min(tokens_, Capacity());
+}
+
+}  // namespace redwing
--- /dev/null
+++ b/src/budget/internal/share_budgets.cc
@@ -0,0 +1,462 @@
+#include "budget/internal/share_budgets.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "budget/internal/lease_messages.h"
+#include "budget/internal/lending_policy.h"
+#include "budget/internal/share_ledger.h"
+#include "config/freshness.h"
+#include "config/steering_config.h"
+#include "framework/metrics/metrics.h"
+#include "framework/peer/peer_transport.h"
+#include "framework/settings/endpoint.h"
+#include "framework/wire/payload.h"
+#include "membership/identity.h"
+#include "membership/membership.h"
+
+namespace redwing {
+
+namespace {
+
+constexpr Milliseconds kTickInterval{20};
+// A request not answered by then counts as lost.
+constexpr Milliseconds kRequestTimeout{400};
+// A lender counts a lease this much longer, against clocks that differ in
+// speed.
+constexpr double kLenderMargin = 1.02;
+constexpr Milliseconds kLenderExtra{5};
+// Links may burst for this long.
+constexpr double kLinkBurstSeconds = 0.05;
+constexpr double kMinLinkBurst = 64 * 1024;  // bytes
+constexpr Milliseconds kIdleTime{5000};
+constexpr Milliseconds kMaxRetryAfter{60'000};
+
+std::vector<BudgetSpec> SpecsOf(const SteeringDocument& document,
+                                const std::string& own_region) {
+  std::vector<BudgetSpec> specs;
+  for (const auto& [name, workspace] : document.workspaces()) {
+    specs.push_back({WorkspaceBudgetName(name), BudgetScope::kFleet,
+                     workspace.rate, workspace.burst});
+  }
+  const Region* const region = document.FindRegion(own_region);
+  if (region != nullptr) {
+    specs.push_back({RegionBudgetName(own_region), BudgetScope::kRegion,
+                     region->rate, region->burst});
+  }
+  for (const Link& link : document.links()) {
+    if (link.from == own_region) {
+      specs.push_back({LinkBudgetName(link.from, link.to),
+                       BudgetScope::kRegion, link.cap,
+                       std::max(kMinLinkBurst, link.cap * kLinkBurstSeconds)});
+    }
+  }
+  return specs;
+}
+
+}  // namespace
+
+ShareBudgets::ShareBudgets(boost::asio::io_context& io,
+                           Metrics& metrics,
+                           std::shared_ptr<Identity> identity,
+                           std::unique_ptr<LendingPolicy> policy,
+                           BudgetOptions options)
+    : io_(io),
+      metrics_(metrics),
+      identity_(std::move(identity)),
+      policy_(std::move(policy)),
+      options_(options),
+      random_(std::random_device{}()),
+      tick_(io, kTickInterval, [this]() { Tick(); }) {}
+
+ShareBudgets::~ShareBudgets() = default;
+
+void ShareBudgets::Attach(std::shared_ptr<PeerTransport> transport,
+                          std::shared_ptr<Membership> membership,
+                          std::shared_ptr<SteeringConfig> config,
+                          std::shared_ptr<Freshness> freshness,
+                          std::shared_ptr<ShareLedger> ledger) {
+  transport_ = std::move(transport);
+  membership_ = std::move(membership);
+  config_ = std::move(config);
+  freshness_ = std::move(freshness);
+  ledger_ = std::move(ledger);
+  config_->on_change().Subscribe([this]() { ApplyDocument(); });
+  ledger_->on_change().Subscribe([this]() { ApplyShares(); });
+  ledger_->SetLentSource(
+      [this](BudgetScope scope) { return LargestLentShare(scope); });
+  transport_->OnDatagram(
+      MessageKind::kLeaseRequest,
+      [this](const Envelope& envelope,
+             const boost::asio::ip::udp::endpoint& /*from*/) {
+        HandleRequest(envelope);
+      });
+  transport_->OnDatagram(
+      MessageKind::kLeaseGrant,
+      [this](const Envelope& envelope,
+             const boost::asio::ip::udp::endpoint& /*from*/) {
+        HandleGrant(envelope);
+      });
+}
+
+void ShareBudgets::Start() {
+  tick_.Start();
+}
+
+void ShareBudgets::Stop() {
+  tick_.Stop();
+}
+
+Result<void> ShareBudgets::Acquire(std::string_view name,
+                                   double amount,
+                                   TimePoint deadline,
+                                   bool allow_stale,
+                                   Yield yield) {
+  const auto found = accounts_.find(name);
+  if (found == accounts_.end()) {
+    return boost::outcome_v2::success();
+  }
+  BudgetAccount& account = found->second;
+  const TimePoint now = Clock::now();
+  if (!allow_stale && !freshness_->IsFresh(now)) {
+    return NotRun(Errc::kStale,
+                  "this instance has lost touch with the rest of the fleet",
+                  Milliseconds(1000));
+  }
+  account.NoteDemand(amount, now);
+  if (account.waiters.empty() && account.bucket.TrySpend(amount, now)) {
+    account.spent += amount;
+    return boost::outcome_v2::success();
+  }
+  // Requests far beyond the rate are refused at once, before they queue: the
+  // answer is final and says when to come back.
+  const double rate = std::max(account.bucket.Rate(), 1e-9);
+  const double wait_seconds = (account.waiting_amount + amount) / rate;
+  const double wait_limit =
+      ToSeconds(std::min<Clock::duration>(options_.max_wait, deadline - now));
+  const bool can_borrow = policy_->ShareToBorrow(account) > 0;
+  const bool hopeless =
+      can_borrow ? account.waiting_amount + amount >
+                       account.bucket.spec().rate * wait_limit
+                 : wait_seconds > wait_limit;
+  if (hopeless || account.waiters.size() >= options_.max_waiters ||
+      !Wait(account, amount,
+            std::min<TimePoint>(deadline, now + options_.max_wait), yield)) {
+    return Refuse(account, amount, name);
+  }
+  return boost::outcome_v2::success();
+}
+
+bool ShareBudgets::Pace(std::string_view name,
+                        double amount,
+                        TimePoint deadline,
+                        Yield yield) {
+  const auto found = accounts_.find(name);
+  if (found == accounts_.end()) {
+    return true;
+  }
+  BudgetAccount& account = found->second;
+  const TimePoint now = Clock::now();
+  account.NoteDemand(amount, now);
+  if (account.waiters.empty() && account.bucket.TrySpend(amount, now)) {
+    account.spent += amount;
+    return true;
+  }
+  return Wait(account, amount, deadline, yield);
+}
+
+std::vector<BudgetStatus> ShareBudgets::Status() {
+  std::vector<BudgetStatus> list;
+  const TimePoint now = Clock::now();
+  for (auto& [name, account] : accounts_) {
+    const double tokens = account.bucket.Tokens(now);
+    list.push_back({name, account.bucket.spec().rate,
+                    account.bucket.spec().burst, account.bucket.own_share(),
+                    account.bucket.lent_share(),
+                    account.bucket.borrowed_share(), tokens,
+                    account.demand.rate(), account.waiters.size(),
+                    account.spent, account.refused});
+  }
+  return list;
+}
+
+void ShareBudgets::ApplyDocument() {
+  const TimePoint now = Clock::now();
+  for (const BudgetSpec& spec :
+       SpecsOf(*config_->document(), identity_->region)) {
+    const auto account = accounts_.find(spec.name);
+    if (account == accounts_.end()) {
+      accounts_.emplace(std::piecewise_construct,
+                        std::forward_as_tuple(spec.name),
+                        std::forward_as_tuple(spec, now));
+    } else {
+      account->second.bucket.SetSpec(spec, now);
+    }
+  }
+  ApplyShares();
+}
+
+void ShareBudgets::ApplyShares() {
+  const TimePoint now = Clock::now();
+  for (auto& [name, account] : accounts_) {
+    account.bucket.SetOwnShare(
+        ledger_->OwnShare(account.bucket.spec().scope, now), now);
+  }
+}
+
+double ShareBudgets::LargestLentShare(BudgetScope scope) {
+  double largest = 0;
+  const TimePoint now = Clock::now();
+  for (auto& [name, account] : accounts_) {
+    if (account.bucket.spec().scope == scope) {
+      account.bucket.Tokens(now);
+      largest = std::max(largest, account.bucket.lent_share());
+    }
+  }
+  return largest;
+}
+
+void ShareBudgets::Tick() {
+  const TimePoint now = Clock::now();
+  for (auto request = open_requests_.begin();
+       request != open_requests_.end();) {
+    const bool lost = now - request->second.sent_at > kRequestTimeout;
+    request = lost ? open_requests_.erase(request) : std::next(request);
+  }
+  for (auto& [name, account] : accounts_) {
+    account.demand.Update(now);
+    GrantWaiters(account, now);
+    if (now - account.last_used > kIdleTime && account.waiters.empty()) {
+      account.largest_amount = 0;
+      continue;
+    }
+    RenewLeases(name, account, now);
+    BorrowFor(name, account, now);
+  }
+}
+
+void ShareBudgets::GrantWaiters(BudgetAccount& account, TimePoint now) {
+  while (!account.waiters.empty()) {
+    const std::shared_ptr<TokenWaiter> waiter = account.waiters.front();
+    if (!account.bucket.TrySpend(waiter->amount, now)) {
+      return;
+    }
+    account.waiters.pop_front();
+    account.waiting_amount -= waiter->amount;
+    account.spent += waiter->amount;
+    waiter->granted = true;
+    waiter->timer.cancel();
+  }
+}
+
+bool ShareBudgets::Wait(BudgetAccount& account,
+                        double amount,
+                        TimePoint deadline,
+                        Yield yield) {
+  const std::shared_ptr<TokenWaiter> waiter =
+      std::make_shared<TokenWaiter>(io_, amount);
+  account.waiters.push_back(waiter);
+  account.waiting_amount += amount;
+  waiter->timer.expires_at(deadline);
+  boost::system::error_code ignored;
+  waiter->timer.async_wait(yield[ignored]);
+  if (waiter->granted) {
+    return true;
+  }
+  const auto place =
+      std::find(account.waiters.begin(), account.waiters.end(), waiter);
+  if (place != account.waiters.end()) {
+    account.waiters.erase(place);
+    account.waiting_amount -= amount;
+  }
+  return false;
+}
+
+Failure ShareBudgets::Refuse(BudgetAccount& account,
+                             double amount,
+                             std::string_view name) {
+  account.refused += amount;
+  const double rate =
+      std::max(account.bucket.Rate(), account.bucket.spec().rate * 0.01);
+  const double seconds = (account.waiting_amount + amount) / rate;
+  const Milliseconds retry_after = std::min(
+      kMaxRetryAfter,
+      Milliseconds(static_cast<int64_t>(std::ceil(seconds * 1000))));
+  return NotRun(Errc::kRateExceeded,
+                "over the rate of " + std::string(name), retry_after);
+}
+
+void ShareBudgets::BorrowFor(const std::string& name,
+                             BudgetAccount& account,
+                             TimePoint now) {
+  // What has been asked for counts as held, so that no more is asked for than
+  // there is room.
+  const double missing = policy_->ShareToBorrow(account) - OpenShare(name);
+  if (missing <= 0) {
+    return;
+  }
+  const std::vector<const Member*> lenders = Lenders(account.bucket.spec());
+  if (lenders.empty()) {
+    return;
+  }
+  // A peer holds about an equal share: ask as many as are likely needed.
+  const size_t wanted = static_cast<size_t>(std::ceil(
+      missing * static_cast<double>(lenders.size() + 1)));
+  const size_t count = std::clamp<size_t>(wanted, 1, lenders.size());
+  for (size_t i = 0; i < count; ++i) {
+    SendRequest(lenders[i]->name,
+                {name, lenders[i]->name, 0,
+                 missing / static_cast<double>(count), now},
+                now);
+  }
+}
+
+void ShareBudgets::RenewLeases(const std::string& name,
+                               BudgetAccount& account,
+                               TimePoint now) {
+  double surplus =
+      account.bucket.EffectiveShare() - account.NeededShare();
+  for (const ShareLease& lease : account.bucket.borrowed()) {
+    if (lease.until - now > options_.lease_duration / 2) {
+      continue;
+    }
+    if (lease.share <= surplus) {
+      // Not needed any more: let it return to the lender.
+      surplus -= lease.share;
+      continue;
+    }
+    const bool asked = std::any_of(
+        open_requests_.begin(), open_requests_.end(),
+        [&lease](const std::pair<const uint64_t, OpenRequest>& item) {
+          return item.second.lease_id == lease.id;
+        });
+    if (!asked) {
+      SendRequest(lease.peer, {name, lease.peer, lease.id, 0, now}, now);
+    }
+  }
+}
+
+void ShareBudgets::SendRequest(const std::string& peer,
+                               OpenRequest request,
+                               TimePoint now) {
+  const Member* const member = membership_->Find(peer);
+  if (member == nullptr) {
+    return;
+  }
+  const uint64_t id = random_();
+  const LeaseRequest message{id, request.lease_id, request.budget,
+                             request.share};
+  request.sent_at = now;
+  open_requests_.emplace(id, std::move(request));
+  metrics_.Get("redwing_lease_requests_total",
+               "Requests to lend a share, in messages")
+      .Add();
+  transport_->Send(UdpEndpoint(member->peer_address),
+                   MessageKind::kLeaseRequest, EncodePayload(message));
+}
+
+double ShareBudgets::OpenShare(const std::string& budget) const {
+  double sum = 0;
+  for (const auto& [id, request] : open_requests_) {
+    if (request.budget == budget) {
+      sum += request.share;
+    }
+  }
+  return sum;
+}
+
+std::vector<const Member*> ShareBudgets::Lenders(const BudgetSpec& spec) {
+  std::vector<const Member*> lenders;
+  for (const auto& [name, member] : membership_->members()) {
+    const bool same_region = member.region == identity_->region;
+    if (member.usable() &&
+        (spec.scope == BudgetScope::kFleet || same_region)) {
+      lenders.push_back(&member);
+    }
+  }
+  std::shuffle(lenders.begin(), lenders.end(), random_);
+  // Answers from the own region come sooner.
+  std::stable_partition(lenders.begin(), lenders.end(),
+                        [this](const Member* member) {
+                          return member->region == identity_->region;
+                        });
+  return lenders;
+}
+
+void ShareBudgets::HandleRequest(const Envelope& envelope) {
+  const Result<LeaseRequest> decoded =
+      DecodePayload<LeaseRequest>(envelope.payload);
+  const Member* const member = membership_->Find(envelope.sender);
+  if (!decoded || member == nullptr) {
+    return;
+  }
+  const LeaseRequest& request = decoded.value();
+  const auto found = accounts_.find(request.budget);
+  const TimePoint now = Clock::now();
+  if (found == accounts_.end() || !freshness_->IsFresh(now)) {
+    return;
+  }
+  BudgetAccount& account = found->second;
+  account.bucket.Tokens(now);
+  LeaseGrant grant;
+  grant.request_id = request.request_id;
+  grant.duration_ms = static_cast<uint32_t>(options_.lease_duration.count());
+  const TimePoint until =
+      now + std::chrono::duration_cast<Clock::duration>(
+                options_.lease_duration * kLenderMargin) +
+      kLenderExtra;
+  if (request.lease_id != 0) {
+    if (!policy_->ExtendLease(account) ||
+        !account.bucket.ExtendLent(request.lease_id, until, now)) {
+      return;
+    }
+    grant.lease_id = request.lease_id;
+  } else {
+    grant.share = policy_->ShareToLend(account, request.share);
+    if (!(grant.share > 0)) {
+      return;
+    }
+    grant.lease_id = random_();
+    grant.tokens = account.bucket.Lend(
+        {grant.lease_id, envelope.sender, grant.share, until}, now);
+  }
+  metrics_.Get("redwing_lease_grants_total",
+               "Leases granted or extended, in leases")
+      .Add();
+  transport_->Send(UdpEndpoint(member->peer_address), MessageKind::kLeaseGrant,
+                   EncodePayload(grant));
+}
+
+void ShareBudgets::HandleGrant(const Envelope& envelope) {
+  const Result<LeaseGrant> decoded =
+      DecodePayload<LeaseGrant>(envelope.payload);
+  if (!decoded) {
+    return;
+  }
+  const LeaseGrant& grant = decoded.value();
+  const auto open = open_requests_.find(grant.request_id);
+  if (open == open_requests_.end() || open->second.peer != envelope.sender) {
+    return;
+  }
+  const OpenRequest request = open->second;
+  open_requests_.erase(open);
+  const auto found = accounts_.find(request.budget);
+  if (found == accounts_.end()) {
+    return;
+  }
+  const TimePoint now = Clock::now();
+  // Counted from the sending of the request, so that the lease ends here
+  // before it ends at the lender.
+  const TimePoint until =
+      request.sent_at + Milliseconds(grant.duration_ms);
+  ShareBucket& bucket = found->second.bucket;
+  if (request.lease_id != 0) {
+    bucket.ExtendBorrowed(request.lease_id, until, now);
+  } else {
+    bucket.Borrow({grant.lease_id, envelope.sender, grant.share, until},
+                  grant.tokens, now);
+    GrantWaiters(found->second, now);
+  }
+}
+
+}  // namespace redwing
--- /dev/null
+++ b/src/budget/share_bucket.h
@@ -0,0 +1,71 @@
+#ifndef REDWING_BUDGET_SHARE_BUCKET_H_
+#define REDWING_BUDGET_SHARE_BUCKET_H_
+
+#include <vector>
+
+#include "budget/budget_spec.h"
+#include "budget/share_lease.h"
+
+namespace redwing {
+
+// One instance's part of one budget: a token bucket whose rate and capacity
+// are the instance's effective share of the whole, that is its own share less
+// what it has lent plus what it has borrowed.
+//
+// Invariant: over all instances, effective shares add up to at most 1 and
+// tokens to at most the burst. A lease counts for the borrower from the grant
+// until `until` on the borrower's clock, which starts when the request was
+// sent; for the lender until after that. So at no instant do both count it.
+class ShareBucket {
+ public:
+  ShareBucket(BudgetSpec spec, TimePoint now);
+
+  const BudgetSpec& spec() const { return spec_; }
+  // Replaces rate and burst. Tokens above the new capacity are dropped.
+  void SetSpec(const BudgetSpec& spec, TimePoint now);
+
+  // Sets the own share. While more is lent, it counts as what is lent, and no
+  // lease is extended.
+  void SetOwnShare(double share, TimePoint now);
+  double own_share() const;
+  double lent_share() const;
+  double borrowed_share() const;
+  double EffectiveShare() const;
+
+  // Takes tokens if there are enough.
+  bool TrySpend(double amount, TimePoint now);
+  double Tokens(TimePoint now);
+  double Rate() const { return EffectiveShare() * spec_.rate; }
+  double Capacity() const { return EffectiveShare() * spec_.burst; }
+
+  // Lends a part of the own share: takes it and its part of the tokens out and
+  // returns the tokens to hand over.
+  double Lend(const ShareLease& lease, TimePoint now);
+  // Extends a lease that was lent. Returns false when it has ended.
+  bool ExtendLent(uint64_t id, TimePoint until, TimePoint now);
+
+  // Adds a borrowed share and the tokens that came with it.
+  void Borrow(const ShareLease& lease, double tokens, TimePoint now);
+  // Extends a borrowed lease. Returns false when it has ended.
+  bool ExtendBorrowed(uint64_t id, TimePoint until, TimePoint now);
+
+  const std::vector<ShareLease>& lent() const { return lent_; }
+  const std::vector<ShareLease>& borrowed() const { return borrowed_; }
+
+ private:
+  // Refills up to `now`, ending leases at their time.
+  void Advance(TimePoint now);
+  void Accrue(TimePoint until);
+  void Clamp();
+
+  BudgetSpec spec_;
+  double own_share_ = 0;
+  double tokens_ = 0;
+  TimePoint updated_at_;
+  std::vector<ShareLease> lent_;
+  std::vector<ShareLease> borrowed_;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_BUDGET_SHARE_BUCKET_H_
--- /dev/null
+++ b/src/config/internal/document_config.h
@@ -0,0 +1,49 @@
+#ifndef REDWING_CONFIG_INTERNAL_DOCUMENT_CONFIG_H_
+#define REDWING_CONFIG_INTERNAL_DOCUMENT_CONFIG_H_
+
+#include <memory>
+#include <string>
+
+#include "config/replicated_state.h"
+#include "config/steering_config.h"
+
+namespace redwing {
+
+class KeyRing;
+class Membership;
+
+// Turns replicated entries into the document, keys, drains and listing in
+// force.
+class DocumentConfig : public SteeringConfig {
+ public:
+  DocumentConfig(std::shared_ptr<ReplicatedState> state,
+                 std::shared_ptr<KeyRing> keys);
+
+  void Attach(std::shared_ptr<Membership> membership);
+
+  std::shared_ptr<const SteeringDocument> document() const override {
+    return document_;
+  }
+  const Drains& drains() const override { return drains_; }
+  const InstanceList& listing() const override { return listing_; }
+  bool ready() const override;
+  Channel<>& on_change() override { return on_change_; }
+
+ private:
+  void HandleEntry(const StateEntry& entry);
+  void ApplyKeys(const StateEntry& entry);
+  void ApplyListing(const StateEntry& entry);
+  void Rebuild();
+
+  std::shared_ptr<ReplicatedState> state_;
+  std::shared_ptr<KeyRing> keys_;
+  std::shared_ptr<Membership> membership_;
+  std::shared_ptr<const SteeringDocument> document_;
+  Drains drains_;
+  InstanceList listing_;
+  Channel<> on_change_;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_CONFIG_INTERNAL_DOCUMENT_CONFIG_H_
--- /dev/null
+++ b/src/config/internal/peer_sync.cc
@@ -0,0 +1,231 @@
+#include "config/internal/peer_sync.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/spawn.hpp>
+#include <set>
+
+#include "config/internal/store_watcher.h"
+#include "config/internal/sync_messages.h"
+#include "config/replicated_state.h"
+#include "framework/metrics/metrics.h"
+#include "framework/peer/peer_transport.h"
+#include "framework/settings/endpoint.h"
+#include "framework/wire/payload.h"
+#include "keys/key_ring.h"
+#include "membership/membership.h"
+
+namespace redwing {
+
+namespace {
+constexpr Milliseconds kPullTimeout{2000};
+constexpr Milliseconds kPullInterval{100};
+constexpr Milliseconds kPushInterval{100};
+constexpr Milliseconds kPushFor{60'000};
+constexpr size_t kIdsPerDatagram = 50;
+}  // namespace
+
+PeerSync::PeerSync(boost::asio::io_context& io,
+                   Metrics& metrics,
+                   std::shared_ptr<ReplicatedState> state,
+                   std::shared_ptr<KeyRing> keys,
+                   std::shared_ptr<StoreWatcher> watcher)
+    : io_(io),
+      metrics_(metrics),
+      state_(std::move(state)),
+      keys_(std::move(keys)),
+      watcher_(std::move(watcher)),
+      push_task_(io, kPushInterval, [this]() { PushPending(); }) {}
+
+void PeerSync::Attach(std::shared_ptr<PeerTransport> transport,
+                      std::shared_ptr<Membership> membership) {
+  transport_ = std::move(transport);
+  membership_ = std::move(membership);
+  membership_->AddBeatSource([this](Heartbeat& heartbeat) {
+    heartbeat.state_digest = state_->digest();
+    heartbeat.withdrawn_hash = keys_->withdrawn_hash();
+  });
+  membership_->SetStateComparer(
+      [this](const std::string& name, const Heartbeat& heartbeat) {
+        return StateEquals(name, heartbeat);
+      });
+  state_->on_applied().Subscribe(
+      [this](const StateEntry& /*entry*/) { ScheduleBeat(); });
+  transport_->OnCall(MessageKind::kStatePull, [this](const Envelope& envelope) {
+    return AnswerPull(envelope);
+  });
+  transport_->OnDatagram(
+      MessageKind::kWithdrawal,
+      [this](const Envelope& envelope,
+             const boost::asio::ip::udp::endpoint& /*from*/) {
+        HandleWithdrawal(envelope);
+      });
+  transport_->OnDatagram(
+      MessageKind::kWithdrawalAck,
+      [this](const Envelope& envelope,
+             const boost::asio::ip::udp::endpoint& /*from*/) {
+        HandleAck(envelope);
+      });
+}
+
+void PeerSync::Start() {
+  push_task_.Start();
+}
+
+void PeerSync::Stop() {
+  push_task_.Stop();
+}
+
+void PeerSync::Withdraw(const std::vector<std::string>& key_ids) {
+  keys_->Withdraw(key_ids);
+  for (const std::string& id : key_ids) {
+    pushes_[id].begun = Clock::now();
+  }
+  PushPending();
+}
+
+WithdrawalStatus PeerSync::StatusOf(const std::string& key_id) const {
+  WithdrawalStatus status;
+  status.listed = membership_->listed_count();
+  status.acknowledged = keys_->IsWithdrawn(key_id) ? 1 : 0;
+  status.stored = watcher_->IsStored(key_id);
+  const auto push = pushes_.find(key_id);
+  std::set<std::string> missing;
+  for (const auto& [name, member] : membership_->members()) {
+    const bool acknowledged =
+        push != pushes_.end() &&
+        std::count(push->second.acknowledged_by.begin(),
+                   push->second.acknowledged_by.end(), name) > 0;
+    if (!member.listed) {
+      continue;
+    }
+    if (acknowledged) {
+      ++status.acknowledged;
+    } else {
+      missing.insert(member.region);
+    }
+  }
+  status.missing_regions.assign(missing.begin(), missing.end());
+  return status;
+}
+
+bool PeerSync::StateEquals(const std::string& name,
+                           const Heartbeat& heartbeat) {
+  if (heartbeat.state_digest == state_->digest() &&
+      heartbeat.withdrawn_hash == keys_->withdrawn_hash()) {
+    return true;
+  }
+  const TimePoint now = Clock::now();
+  TimePoint& last = pulls_[name];
+  if (now - last >= kPullInterval) {
+    last = now;
+    boost::asio::spawn(
+        io_, [this, name](const Yield& yield) { Pull(name, yield); });
+  }
+  return false;
+}
+
+void PeerSync::Pull(const std::string& name, Yield yield) {
+  const Member* const member = membership_->Find(name);
+  if (member == nullptr) {
+    return;
+  }
+  const TimePoint begun = Clock::now();
+  metrics_.Get("redwing_state_pulls_total", "State pulls from peers, in calls")
+      .Add();
+  const Result<std::string> bytes = transport_->Call(
+      TcpEndpoint(member->peer_address), MessageKind::kStatePull,
+      EncodePayload(StatePull{state_->Revisions()}), kPullTimeout, yield);
+  if (!bytes) {
+    return;
+  }
+  const Result<StateReply> reply = DecodePayload<StateReply>(bytes.value());
+  if (!reply) {
+    return;
+  }
+  for (const StateEntry& entry : reply.value().entries) {
+    state_->Apply(entry);
+  }
+  if (!keys_->Withdraw(reply.value().withdrawn).empty()) {
+    ScheduleBeat();
+  }
+  if (reply.value().complete) {
+    state_->MarkComplete();
+    membership_->MarkSynced(name, begun);
+  }
+}
+
+std::string PeerSync::AnswerPull(const Envelope& envelope) {
+  const Result<StatePull> pull = DecodePayload<StatePull>(envelope.payload);
+  StateReply reply;
+  if (pull) {
+    reply.complete = state_->complete();
+    reply.entries = state_->NewerThan(pull.value().revisions);
+    reply.withdrawn.assign(keys_->withdrawn().begin(),
+                           keys_->withdrawn().end());
+  }
+  return EncodePayload(reply);
+}
+
+void PeerSync::HandleWithdrawal(const Envelope& envelope) {
+  const Result<WithdrawalMessage> message =
+      DecodePayload<WithdrawalMessage>(envelope.payload);
+  const Member* const member = membership_->Find(envelope.sender);
+  if (!message || member == nullptr) {
+    return;
+  }
+  keys_->Withdraw(message.value().key_ids);
+  transport_->Send(UdpEndpoint(member->peer_address),
+                   MessageKind::kWithdrawalAck, envelope.payload);
+}
+
+void PeerSync::HandleAck(const Envelope& envelope) {
+  const Result<WithdrawalMessage> message =
+      DecodePayload<WithdrawalMessage>(envelope.payload);
+  if (!message) {
+    return;
+  }
+  for (const std::string& id : message.value().key_ids) {
+    const auto push = pushes_.find(id);
+    if (push == pushes_.end()) {
+      continue;
+    }
+    std::vector<std::string>& by = push->second.acknowledged_by;
+    if (std::count(by.begin(), by.end(), envelope.sender) == 0) {
+      by.push_back(envelope.sender);
+    }
+  }
+}
+
+void PeerSync::PushPending() {
+  const TimePoint now = Clock::now();
+  for (const auto& [name, member] : membership_->members()) {
+    WithdrawalMessage message;
+    for (const auto& [id, push] : pushes_) {
+      const bool acknowledged =
+          std::count(push.acknowledged_by.begin(), push.acknowledged_by.end(),
+                     name) > 0;
+      if (!acknowledged && now - push.begun < kPushFor &&
+          message.key_ids.size() < kIdsPerDatagram) {
+        message.key_ids.push_back(id);
+      }
+    }
+    if (!message.key_ids.empty()) {
+      transport_->Send(UdpEndpoint(member.peer_address),
+                       MessageKind::kWithdrawal, EncodePayload(message));
+    }
+  }
+}
+
+void PeerSync::ScheduleBeat() {
+  if (beat_scheduled_) {
+    return;
+  }
+  beat_scheduled_ = true;
+  boost::asio::post(io_, [this]() {
+    beat_scheduled_ = false;
+    membership_->BeatNow();
+  });
+}
+
+}  // namespace redwing
--- /dev/null
+++ b/src/config/internal/peer_sync.h
@@ -0,0 +1,74 @@
+#ifndef REDWING_CONFIG_INTERNAL_PEER_SYNC_H_
+#define REDWING_CONFIG_INTERNAL_PEER_SYNC_H_
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "config/state_entry.h"
+#include "config/withdrawals.h"
+#include "framework/http/http_types.h"
+#include "framework/kernel/periodic_task.h"
+
+namespace redwing {
+
+class KeyRing;
+class Membership;
+class Metrics;
+class PeerTransport;
+class ReplicatedState;
+class StoreWatcher;
+struct Envelope;
+struct Heartbeat;
+
+// Keeps instances alike: compares digests carried by heartbeats, pulls what is
+// missing from the peer, and pushes withdrawals until they are acknowledged.
+class PeerSync : public Withdrawals {
+ public:
+  PeerSync(boost::asio::io_context& io,
+           Metrics& metrics,
+           std::shared_ptr<ReplicatedState> state,
+           std::shared_ptr<KeyRing> keys,
+           std::shared_ptr<StoreWatcher> watcher);
+
+  void Attach(std::shared_ptr<PeerTransport> transport,
+              std::shared_ptr<Membership> membership);
+  void Start();
+  void Stop();
+
+  void Withdraw(const std::vector<std::string>& key_ids) override;
+  WithdrawalStatus StatusOf(const std::string& key_id) const override;
+
+ private:
+  struct Push {
+    std::vector<std::string> acknowledged_by;
+    TimePoint begun;
+  };
+
+  bool StateEquals(const std::string& name, const Heartbeat& heartbeat);
+  void Pull(const std::string& name, Yield yield);
+  std::string AnswerPull(const Envelope& envelope);
+  void HandleWithdrawal(const Envelope& envelope);
+  void HandleAck(const Envelope& envelope);
+  void PushPending();
+  void ScheduleBeat();
+
+  boost::asio::io_context& io_;
+  Metrics& metrics_;
+  std::shared_ptr<ReplicatedState> state_;
+  std::shared_ptr<KeyRing> keys_;
+  std::shared_ptr<StoreWatcher> watcher_;
+  std::shared_ptr<PeerTransport> transport_;
+  std::shared_ptr<Membership> membership_;
+  // When a pull from each peer was last begun.
+  std::map<std::string, TimePoint> pulls_;
+  std::map<std::string, Push> pushes_;
+  bool beat_scheduled_ = false;
+  PeriodicTask push_task_;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_CONFIG_INTERNAL_PEER_SYNC_H_
--- /dev/null
+++ b/src/config/internal/store_watcher.h
@@ -0,0 +1,76 @@
+#ifndef REDWING_CONFIG_INTERNAL_STORE_WATCHER_H_
+#define REDWING_CONFIG_INTERNAL_STORE_WATCHER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "framework/errors/result.h"
+#include "framework/http/http_types.h"
+#include "framework/kernel/clock.h"
+
+namespace redwing {
+
+class InstanceDirectory;
+class KeyRing;
+class Membership;
+class ObjectStore;
+class ReplicatedState;
+struct Identity;
+struct StoredObject;
+
+// Reads the store for this instance. The first kWatchersPerRegion instances of
+// each region, by rendezvous order, watch the state, poll the withdrawals and
+// the platform's list; the others read the store once, at start, and then hear
+// from peers.
+class StoreWatcher {
+ public:
+  static constexpr size_t kWatchersPerRegion = 2;
+
+  StoreWatcher(boost::asio::io_context& io,
+               std::shared_ptr<ReplicatedState> state,
+               std::shared_ptr<KeyRing> keys,
+               std::shared_ptr<Identity> identity);
+
+  void Attach(std::shared_ptr<ObjectStore> store,
+              std::shared_ptr<InstanceDirectory> directory,
+              std::shared_ptr<Membership> membership);
+  void Start();
+  void Stop() { stopped_ = true; }
+
+  // Begin time of the last reading of the withdrawals that counts as fresh.
+  TimePoint fresh_read() const { return fresh_read_; }
+  // Returns whether a withdrawal was seen in the store.
+  bool IsStored(const std::string& key_id) const {
+    return stored_withdrawals_.count(key_id) > 0;
+  }
+  bool is_watcher() const;
+
+ private:
+  void WatchLoop(Yield yield);
+  void PollLoop(Yield yield);
+  Result<std::string> ReadAll(Yield yield);
+  void PollWithdrawals(Yield yield);
+  void PollListing(Yield yield);
+  void HandleObject(const StoredObject& object);
+  void MergeWithdrawals(const StoredObject& object);
+  void StoreWithdrawals(StoredObject object, Yield yield);
+  void NoteRead(TimePoint begun, bool succeeded);
+
+  boost::asio::io_context& io_;
+  std::shared_ptr<ReplicatedState> state_;
+  std::shared_ptr<KeyRing> keys_;
+  std::shared_ptr<Identity> identity_;
+  std::shared_ptr<ObjectStore> store_;
+  std::shared_ptr<InstanceDirectory> directory_;
+  std::shared_ptr<Membership> membership_;
+  std::set<std::string> stored_withdrawals_;
+  TimePoint fresh_read_;
+  TimePoint readable_since_ = TimePoint::max();
+  bool stopped_ = false;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_CONFIG_INTERNAL_STORE_WATCHER_H_
--- /dev/null
+++ b/src/delivery/delivery_module.h
@@ -0,0 +1,34 @@
+#ifndef REDWING_DELIVERY_DELIVERY_MODULE_H_
+#define REDWING_DELIVERY_DELIVERY_MODULE_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "framework/kernel/module.h"
+
+namespace redwing {
+
+class RequestCarrier;
+
+// Carries requests to targets and to other entries.
+class DeliveryModule : public Module {
+ public:
+  explicit DeliveryModule(std::vector<std::string> secrets)
+      : secrets_(std::move(secrets)) {}
+  ~DeliveryModule() override;
+
+  std::string_view Name() const override { return "delivery"; }
+  void RegisterServices(Kernel& kernel) override;
+  void ResolveDependencies(Kernel& kernel) override;
+  void Start() override;
+  void Stop() override;
+
+ private:
+  std::vector<std::string> secrets_;
+  std::shared_ptr<RequestCarrier> carrier_;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_DELIVERY_DELIVERY_MODULE_H_
--- /dev/null
+++ b/src/delivery/internal/connection_pool.h
@@ -0,0 +1,55 @@
+#ifndef REDWING_DELIVERY_INTERNAL_CONNECTION_POOL_H_
+#define REDWING_DELIVERY_INTERNAL_CONNECTION_POOL_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "framework/errors/result.h"
+#include "framework/http/http_connection.h"
+#include "framework/kernel/clock.h"
+
+namespace redwing {
+
+class Metrics;
+
+// Idle connections to targets and other entries. Only a connection whose last
+// exchange ended cleanly comes back, so that no late answer can reach another
+// request.
+class ConnectionPool {
+ public:
+  using ConnectionPtr = std::shared_ptr<HttpConnection>;
+
+  ConnectionPool(boost::asio::io_context& io,
+                 SocketRegistry& sockets,
+                 Metrics& metrics,
+                 size_t idle_per_endpoint);
+
+  // Returns an idle connection or opens one. Failures are kNotRun.
+  Result<ConnectionPtr> Acquire(const boost::asio::ip::tcp::endpoint& endpoint,
+                                TimePoint deadline,
+                                Yield yield);
+  // Takes a connection back, closing it unless it is reusable.
+  void Release(const boost::asio::ip::tcp::endpoint& endpoint,
+               ConnectionPtr connection);
+  // Closes connections that were idle for long.
+  void CloseIdle(TimePoint now);
+
+ private:
+  struct Idle {
+    ConnectionPtr connection;
+    TimePoint since;
+  };
+
+  boost::asio::io_context& io_;
+  SocketRegistry& sockets_;
+  Metrics& metrics_;
+  size_t idle_per_endpoint_;
+  std::map<boost::asio::ip::tcp::endpoint, std::vector<Idle>> idle_;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_DELIVERY_INTERNAL_CONNECTION_POOL_H_
--- /dev/null
+++ b/src/delivery/internal/header_rules.h
@@ -0,0 +1,34 @@
+#ifndef REDWING_DELIVERY_INTERNAL_HEADER_RULES_H_
+#define REDWING_DELIVERY_INTERNAL_HEADER_RULES_H_
+
+#include <string_view>
+
+#include "framework/http/http_types.h"
+
+namespace redwing {
+
+// Prefix of the fields that only redwingcart sets.
+inline constexpr std::string_view kInternalPrefix = "X-Redwing-";
+inline constexpr std::string_view kHopField = "X-Redwing-Hop";
+inline constexpr std::string_view kWorkspaceField = "X-Redwing-Workspace";
+inline constexpr std::string_view kDeadlineField = "X-Redwing-Deadline-Ms";
+inline constexpr std::string_view kVerdictField = "X-Redwing-Verdict";
+inline constexpr std::string_view kInstanceField = "X-Redwing-Instance";
+inline constexpr std::string_view kRequestIdField = "X-Request-Id";
+inline constexpr std::string_view kTimeoutField = "X-Request-Timeout-Ms";
+// Identifies one attempt. A target that echoes it lets the entry notice an
+// answer that belongs to another request.
+inline constexpr std::string_view kAttemptField = "X-Redwing-Attempt";
+// A target that sheds a request without running it says so with this field.
+inline constexpr std::string_view kNotRunField = "X-Request-Not-Run";
+
+// Removes the fields that concern one connection only: those of RFC 9110
+// section 7.6.1 and those named by Connection.
+void RemoveHopByHopFields(http::fields* fields);
+
+// Removes every field with kInternalPrefix.
+void RemoveInternalFields(http::fields* fields);
+
+}  // namespace redwing
+
+#endif  // REDWING_DELIVERY_INTERNAL_HEADER_RULES_H_
--- /dev/null
+++ b/src/delivery/internal/hop_token.cc
@@ -0,0 +1,64 @@
+#include "delivery/internal/hop_token.h"
+
+#include <sodium.h>
+
+#include <algorithm>
+
+#include "framework/wire/digest.h"
+#include "framework/wire/payload.h"
+
+namespace redwing {
+
+namespace {
+
+constexpr size_t kDigestText = kDigestBytes * 2;
+// Keeps these digests apart from those of peer messages.
+constexpr std::string_view kDomain = "hop:";
+
+std::string Hex(const std::string& bytes) {
+  std::string text(bytes.size() * 2 + 1, '\0');
+  sodium_bin2hex(text.data(), text.size(),
+                 reinterpret_cast<const uint8_t*>(bytes.data()), bytes.size());
+  text.pop_back();
+  return text;
+}
+
+std::string Unhex(std::string_view text) {
+  std::string bytes(text.size() / 2, '\0');
+  size_t size = 0;
+  const int failed =
+      sodium_hex2bin(reinterpret_cast<uint8_t*>(bytes.data()), bytes.size(),
+                     text.data(), text.size(), nullptr, &size, nullptr);
+  bytes.resize(failed == 0 ? size : 0);
+  return bytes;
+}
+
+std::string DigestText(const std::string& secret, const std::string& body) {
+  return ToHex(KeyedDigest(secret, std::string(kDomain) + body));
+}
+
+}  // namespace
+
+std::string HopSigner::Sign(const HopToken& token) const {
+  const std::string body = EncodePayload(token);
+  return DigestText(secrets_.front(), body) + Hex(body);
+}
+
+Result<HopToken> HopSigner::Verify(std::string_view text) const {
+  if (text.size() < kDigestText) {
+    return NotRun(Errc::kBadMessage, "hop token is too short");
+  }
+  const std::string body = Unhex(text.substr(kDigestText));
+  const std::string_view digest = text.substr(0, kDigestText);
+  const bool genuine = std::any_of(
+      secrets_.begin(), secrets_.end(), [&](const std::string& secret) {
+        const std::string own = DigestText(secret, body);
+        return sodium_memcmp(own.data(), digest.data(), own.size()) == 0;
+      });
+  if (!genuine) {
+    return NotRun(Errc::kBadMessage, "hop token is not genuine");
+  }
+  return DecodePayload<HopToken>(body);
+}
+
+}  // namespace redwing
--- /dev/null
+++ b/src/delivery/internal/hop_token.h
@@ -0,0 +1,48 @@
+#ifndef REDWING_DELIVERY_INTERNAL_HOP_TOKEN_H_
+#define REDWING_DELIVERY_INTERNAL_HOP_TOKEN_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "framework/errors/result.h"
+
+namespace redwing {
+
+// What one entry tells another about a request that it forwards. Travels in
+// the field X-Redwing-Hop, signed with the fleet's secret.
+struct HopToken {
+  std::string to_process;
+  std::string from_region;
+  std::string workspace;
+  std::string key_id;
+  std::string request_id;
+  // Method and target, so that a token fits one request only.
+  std::string request_line;
+  uint32_t remaining_ms = 0;
+  bool owner_hop = false;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(to_process, from_region, workspace, key_id, request_id,
+            request_line, remaining_ms, owner_hop);
+  }
+};
+
+// Signs with the first secret; verifies with any.
+class HopSigner {
+ public:
+  explicit HopSigner(std::vector<std::string> secrets)
+      : secrets_(std::move(secrets)) {}
+
+  std::string Sign(const HopToken& token) const;
+  Result<HopToken> Verify(std::string_view text) const;
+
+ private:
+  std::vector<std::string> secrets_;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_DELIVERY_INTERNAL_HOP_TOKEN_H_
--- /dev/null
+++ b/src/delivery/internal/idempotency_table.cc
@@ -0,0 +1,74 @@
+#include "delivery/internal/idempotency_table.h"
+
+namespace redwing {
+
+uint32_t IdempotencyTable::Epoch(TimePoint now) const {
+  return static_cast<uint32_t>((now - started_) / kEpochLength) + 1;
+}
+
+bool IdempotencyTable::Accepts(uint32_t epoch, TimePoint now) const {
+  const uint32_t current = Epoch(now);
+  return epoch <= current && current - epoch < kEpochsKept;
+}
+
+Result<std::optional<KeyRecordEntry>> IdempotencyTable::Begin(
+    const std::string& key,
+    uint64_t fingerprint,
+    TimePoint now) {
+  RemoveOld(now);
+  const auto known = entries_.find(key);
+  if (known != entries_.end()) {
+    if (known->second.fingerprint != fingerprint) {
+      return NotRun(Errc::kIdempotencyMismatch,
+                    "the idempotency key came with another request before");
+    }
+    return std::optional<KeyRecordEntry>(known->second);
+  }
+  if (entries_.size() >= kMaxEntries || bytes_ >= kMaxBytes) {
+    return NotRun(Errc::kQueueFull,
+                  "too many idempotency keys are remembered",
+                  Milliseconds(10'000));
+  }
+  KeyRecordEntry entry;
+  entry.fingerprint = fingerprint;
+  entries_.emplace(key, std::move(entry));
+  ages_.push_back({Epoch(now), key});
+  return std::optional<KeyRecordEntry>();
+}
+
+void IdempotencyTable::Forget(const std::string& key) {
+  entries_.erase(key);
+}
+
+void IdempotencyTable::MarkUnknown(const std::string& key) {
+  const auto entry = entries_.find(key);
+  if (entry != entries_.end()) {
+    entry->second.state = KeyState::kOutcomeUnknown;
+  }
+}
+
+void IdempotencyTable::Store(const std::string& key, StoredAnswer answer) {
+  const auto entry = entries_.find(key);
+  if (entry != entries_.end()) {
+    bytes_ += answer.body.size();
+    entry->second.state = KeyState::kAnswered;
+    entry->second.answer = std::move(answer);
+  }
+}
+
+void IdempotencyTable::RemoveOld(TimePoint now) {
+  const uint32_t current = Epoch(now);
+  // A key taken on in an epoch carries that epoch or an earlier one.
+  while (!ages_.empty() && current - ages_.front().epoch >= kEpochsKept) {
+    const auto entry = entries_.find(ages_.front().key);
+    if (entry != entries_.end()) {
+      if (entry->second.answer) {
+        bytes_ -= entry->second.answer->body.size();
+      }
+      entries_.erase(entry);
+    }
+    ages_.pop_front();
+  }
+}
+
+}  // namespace redwing
--- /dev/null
+++ b/src/delivery/internal/idempotency_table.h
@@ -0,0 +1,80 @@
+#ifndef REDWING_DELIVERY_INTERNAL_IDEMPOTENCY_TABLE_H_
+#define REDWING_DELIVERY_INTERNAL_IDEMPOTENCY_TABLE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "framework/errors/result.h"
+#include "framework/http/http_types.h"
+#include "framework/kernel/clock.h"
+
+namespace redwing {
+
+// A complete answer that is kept to be given again.
+struct StoredAnswer {
+  ResponseHeader header;
+  std::string body;
+};
+
+enum class KeyState { kRunning, kAnswered, kOutcomeUnknown };
+
+// A request with an idempotency key that this process has taken on.
+struct KeyRecordEntry {
+  KeyState state = KeyState::kRunning;
+  uint64_t fingerprint = 0;
+  std::optional<StoredAnswer> answer;
+};
+
+// Remembers the requests with idempotency keys that run, or ran, through this
+// process. Time is cut into epochs: a key carries the epoch in which its
+// prefix was handed out, and is accepted and remembered for kEpochsKept
+// epochs, so that a key is never forgotten while it is still accepted.
+class IdempotencyTable {
+ public:
+  static constexpr Milliseconds kEpochLength{300'000};
+  static constexpr uint32_t kEpochsKept = 3;
+  static constexpr size_t kMaxEntries = 50'000;
+  static constexpr size_t kMaxBytes = 16 * 1024 * 1024;
+  static constexpr size_t kMaxAnswer = 256 * 1024;  // bytes
+
+  explicit IdempotencyTable(TimePoint started) : started_(started) {}
+
+  uint32_t Epoch(TimePoint now) const;
+  // Returns whether keys of an epoch are accepted.
+  bool Accepts(uint32_t epoch, TimePoint now) const;
+
+  // Takes a key on. Returns nothing when it is new and the request is to be
+  // run; the entry when it is known. Fails with kIdempotencyMismatch for a key
+  // that came with another request, kQueueFull when the table is full.
+  Result<std::optional<KeyRecordEntry>> Begin(const std::string& key,
+                                              uint64_t fingerprint,
+                                              TimePoint now);
+  // The request did not run: the key can be used again.
+  void Forget(const std::string& key);
+  // The request may have run and its answer is not known.
+  void MarkUnknown(const std::string& key);
+  void Store(const std::string& key, StoredAnswer answer);
+
+  size_t size() const { return entries_.size(); }
+
+ private:
+  struct Age {
+    uint32_t epoch;
+    std::string key;
+  };
+
+  void RemoveOld(TimePoint now);
+
+  TimePoint started_;
+  std::map<std::string, KeyRecordEntry> entries_;
+  std::deque<Age> ages_;
+  size_t bytes_ = 0;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_DELIVERY_INTERNAL_IDEMPOTENCY_TABLE_H_
--- /dev/null
+++ b/src/delivery/internal/request_admitter.cc
@@ -0,0 +1,231 @@
+#include "delivery/internal/request_admitter.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+
+#include "config/freshness.h"
+#include "config/steering_config.h"
+#include "delivery/internal/caller_key.h"
+#include "delivery/internal/header_rules.h"
+#include "delivery/request_handler.h"
+#include "framework/http/http_exchange.h"
+#include "framework/wire/digest.h"
+#include "keys/key_ring.h"
+#include "membership/identity.h"
+
+namespace redwing {
+
+namespace {
+
+constexpr size_t kMaxRequestId = 128;
+constexpr size_t kMaxIdempotencyKey = 256;
+constexpr size_t kRequestIdBytes = 12;
+
+bool IsPlainText(std::string_view text, size_t max_size) {
+  return !text.empty() && text.size() <= max_size &&
+         std::all_of(text.begin(), text.end(), [](char c) {
+           return std::isgraph(static_cast<unsigned char>(c)) != 0;
+         });
+}
+
+}  // namespace
+
+RequestAdmitter::RequestAdmitter(std::shared_ptr<Identity> identity,
+                                 std::shared_ptr<SteeringConfig> config,
+                                 std::shared_ptr<KeyRing> keys,
+                                 std::shared_ptr<Freshness> freshness,
+                                 const HopSigner& signer)
+    : identity_(std::move(identity)),
+      config_(std::move(config)),
+      keys_(std::move(keys)),
+      freshness_(std::move(freshness)),
+      signer_(signer) {}
+
+Result<RequestContext> RequestAdmitter::Admit(
+    const HttpExchange& exchange) const {
+  if (!config_->ready()) {
+    return NotRun(Errc::kNotReady, "this instance has no configuration yet",
+                  Milliseconds(1000));
+  }
+  const std::optional<Url> url = ParseTarget(exchange.target());
+  if (!url) {
+    return NotRun(Errc::kMalformedRequest, "malformed request target");
+  }
+  RequestContext context;
+  context.document = config_->document();
+  const Result<void> routed = FindRoute(exchange, *url, &context);
+  if (!routed) {
+    return routed.error();
+  }
+  SetDeadline(exchange, &context);
+  const bool hop = !exchange.Header(kHopField).empty();
+  const Result<void> checked = hop ? CheckHop(exchange, &context)
+                                   : CheckCaller(exchange, *url, &context);
+  if (!checked) {
+    return checked.error();
+  }
+  context.idempotency_key = exchange.Header("Idempotency-Key");
+  if (!context.idempotency_key.empty() &&
+      !IsPlainText(context.idempotency_key, kMaxIdempotencyKey)) {
+    return NotRun(Errc::kMalformedRequest, "malformed Idempotency-Key");
+  }
+  const std::optional<uint64_t> length = exchange.content_length();
+  if (length && *length > context.route->max_request_bytes) {
+    return NotRun(Errc::kBodyTooLarge,
+                  fmt::format("the route takes at most {} bytes",
+                              context.route->max_request_bytes));
+  }
+  return context;
+}
+
+RequestHeader RequestAdmitter::TargetHeader(
+    const RequestContext& context,
+    const HttpExchange& exchange) const {
+  const std::optional<Url> url = ParseTarget(exchange.target());
+  const Result<std::string> key = FindCallerKey(exchange.request(), *url);
+  RequestHeader header = exchange.request();
+  RemoveHopByHopFields(&header);
+  RemoveKeyFields(&header, key ? key.value() : "");
+  RemoveInternalFields(&header);
+  header.erase(std::string(kTimeoutField));
+  header.version(11);
+  header.target(BeastView(context.target));
+  header.set(BeastView(kRequestIdField), context.request_id);
+  if (context.workspace != nullptr) {
+    header.set(BeastView(kWorkspaceField), context.workspace->name);
+  }
+  if (exchange.has_body() && !exchange.content_length()) {
+    header.set(http::field::transfer_encoding, "chunked");
+  }
+  return header;
+}
+
+Result<void> RequestAdmitter::FindRoute(const HttpExchange& exchange,
+                                        const Url& url,
+                                        RequestContext* context) const {
+  const std::string_view path = exchange.target().substr(
+      RequestHandler::kPathPrefix.size());
+  const size_t name_end = path.find_first_of("/?");
+  const std::string_view name = path.substr(0, name_end);
+  context->service = context->document->FindService(name);
+  if (context->service == nullptr) {
+    return NotRun(Errc::kUnknownService,
+                  fmt::format("service \"{}\" does not exist", name));
+  }
+  // The target sees the path as the caller wrote it, escapes included.
+  const size_t raw_start = RequestHandler::kPathPrefix.size() + name.size();
+  const std::string_view raw =
+      exchange.target().substr(raw_start, exchange.target().find('?') -
+                                              raw_start);
+  context->target = raw.empty() ? "/" : std::string(raw);
+  const std::string decoded = url.path.substr(raw_start);
+  bool path_known = false;
+  context->route = context->service->FindRoute(
+      exchange.method(), decoded.empty() ? "/" : decoded, &path_known);
+  if (context->route == nullptr) {
+    return path_known
+               ? NotRun(Errc::kMethodNotAllowed,
+                        "the route does not take this method")
+               : NotRun(Errc::kUnknownRoute,
+                        fmt::format("service \"{}\" has no route for it",
+                                    name));
+  }
+  return boost::outcome_v2::success();
+}
+
+Result<void> RequestAdmitter::CheckCaller(const HttpExchange& exchange,
+                                          const Url& url,
+                                          RequestContext* context) const {
+  const Result<std::string> key = FindCallerKey(exchange.request(), url);
+  if (!key) {
+    return key.error();
+  }
+  if (ContainsKey(context->target, key.value())) {
+    return NotRun(Errc::kMalformedRequest, "the path contains the key");
+  }
+  context->target += QueryWithoutKey(url, key.value());
+  const std::string_view given_id = exchange.Header(kRequestIdField);
+  context->request_id = IsPlainText(given_id, kMaxRequestId) &&
+                                !ContainsKey(given_id, key.value())
+                            ? std::string(given_id)
+                            : RandomHex(kRequestIdBytes);
+  if (context->route->open) {
+    return boost::outcome_v2::success();
+  }
+  const Result<const KeyRecord*> record = keys_->Check(key.value());
+  if (!record) {
+    return record.error();
+  }
+  context->key_id = record.value()->id;
+  context->workspace =
+      context->document->FindWorkspace(record.value()->workspace);
+  if (context->workspace == nullptr ||
+      !context->workspace->MayCall(context->service->name,
+                                   context->route->name)) {
+    return NotRun(Errc::kWorkspaceNotAllowed,
+                  "the workspace may not call this route");
+  }
+  if (!context->allow_stale() && !freshness_->IsFresh(Clock::now())) {
+    return NotRun(Errc::kStale,
+                  "this instance has lost touch with the rest of the fleet; "
+                  "use one of another region",
+                  Milliseconds(1000));
+  }
+  return boost::outcome_v2::success();
+}
+
+Result<void> RequestAdmitter::CheckHop(const HttpExchange& exchange,
+                                       RequestContext* context) const {
+  const Result<HopToken> verified = signer_.Verify(exchange.Header(kHopField));
+  if (!verified) {
+    return verified.error();
+  }
+  const HopToken& token = verified.value();
+  const std::string request_line =
+      fmt::format("{} {}", exchange.method(), exchange.target());
+  if (token.request_line != request_line ||
+      token.to_process != identity_->process_id) {
+    return NotRun(Errc::kBadMessage, "the hop token is for another request");
+  }
+  const size_t question = exchange.target().find('?');
+  if (question != std::string_view::npos) {
+    context->target += exchange.target().substr(question);
+  }
+  context->request_id = token.request_id;
+  context->from_region = token.from_region;
+  context->owner_hop = token.owner_hop;
+  context->key_id = token.key_id;
+  context->deadline = std::min<TimePoint>(
+      context->deadline, Clock::now() + Milliseconds(token.remaining_ms));
+  if (!token.workspace.empty()) {
+    context->workspace = context->document->FindWorkspace(token.workspace);
+    if (context->workspace == nullptr) {
+      return NotRun(Errc::kWorkspaceNotAllowed,
+                    "the workspace does not exist here");
+    }
+  } else if (!context->route->open) {
+    return NotRun(Errc::kWorkspaceNotAllowed, "the route is not open");
+  }
+  if (!context->key_id.empty() && keys_->IsWithdrawn(context->key_id)) {
+    return NotRun(Errc::kKeyWithdrawn, "the key was withdrawn");
+  }
+  return boost::outcome_v2::success();
+}
+
+void RequestAdmitter::SetDeadline(const HttpExchange& exchange,
+                                  RequestContext* context) const {
+  Milliseconds timeout = context->route->timeout;
+  const std::string_view text = exchange.Header(kTimeoutField);
+  int64_t wanted = 0;
+  const std::from_chars_result parsed =
+      std::from_chars(text.data(), text.data() + text.size(), wanted);
+  if (parsed.ec == std::errc() && wanted > 0) {
+    timeout = std::min(timeout, Milliseconds(wanted));
+  }
+  context->deadline = Clock::now() + timeout;
+}
+
+}  // namespace redwing
--- /dev/null
+++ b/src/delivery/internal/request_body.h
@@ -0,0 +1,49 @@
+#ifndef REDWING_DELIVERY_INTERNAL_REQUEST_BODY_H_
+#define REDWING_DELIVERY_INTERNAL_REQUEST_BODY_H_
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "framework/errors/result.h"
+#include "framework/http/http_types.h"
+
+namespace redwing {
+
+class HttpExchange;
+
+// The body of a request: the first kPrefetch bytes are held, so that a small
+// request can be sent again; what follows is streamed once.
+class RequestBody {
+ public:
+  static constexpr size_t kPrefetch = 64 * 1024;  // bytes
+  static constexpr size_t kPiece = 16 * 1024;     // bytes
+
+  RequestBody(HttpExchange& exchange, uint64_t limit)
+      : exchange_(exchange), limit_(limit) {}
+
+  // Reads up to `hold` bytes ahead.
+  Result<void> Prefetch(size_t hold, Yield yield);
+
+  std::string_view held() const { return held_; }
+  // Returns whether held() is the whole body.
+  bool whole() const { return whole_; }
+  // Returns whether the body can be sent from its start.
+  bool replayable() const { return !streamed_; }
+  // Reads the next piece after the held part; empty at the end. The view is
+  // valid until the next call.
+  Result<std::string_view> Next(Yield yield);
+
+ private:
+  HttpExchange& exchange_;
+  uint64_t limit_;
+  uint64_t read_ = 0;
+  std::string held_;
+  std::string piece_;
+  bool whole_ = false;
+  bool streamed_ = false;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_DELIVERY_INTERNAL_REQUEST_BODY_H_
--- /dev/null
+++ b/src/delivery/internal/request_carrier.h
@@ -0,0 +1,134 @@
+#ifndef REDWING_DELIVERY_INTERNAL_REQUEST_CARRIER_H_
+#define REDWING_DELIVERY_INTERNAL_REQUEST_CARRIER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "delivery/internal/connection_pool.h"
+#include "delivery/internal/hop_token.h"
+#include "delivery/internal/idempotency_claims.h"
+#include "delivery/internal/idempotency_table.h"
+#include "delivery/internal/request_admitter.h"
+#include "delivery/internal/retry_budget.h"
+#include "delivery/request_handler.h"
+#include "framework/kernel/periodic_task.h"
+#include "routing/target_lease.h"
+
+namespace redwing {
+
+class Budgets;
+class Membership;
+class Metrics;
+class RequestBody;
+class TargetRouter;
+class SocketRegistry;
+struct Member;
+
+// Services that a RequestCarrier uses.
+struct CarrierServices {
+  std::shared_ptr<Identity> identity;
+  std::shared_ptr<SteeringConfig> config;
+  std::shared_ptr<KeyRing> keys;
+  std::shared_ptr<Freshness> freshness;
+  std::shared_ptr<Budgets> budgets;
+  std::shared_ptr<Membership> membership;
+  std::shared_ptr<TargetRouter> router;
+  std::shared_ptr<ObjectStore> store;
+};
+
+// Carries requests: admits them, finds a place where they run, sends them
+// there and hands the answer on; tries again only what did not run or may run
+// twice.
+class RequestCarrier : public RequestHandler {
+ public:
+  RequestCarrier(boost::asio::io_context& io,
+                 SocketRegistry& sockets,
+                 Metrics& metrics,
+                 CarrierServices services,
+                 std::vector<std::string> secrets);
+
+  void Start();
+  void Stop();
+
+  void Carry(HttpExchange& exchange, Yield yield) override;
+  uint32_t key_epoch() const override;
+
+ private:
+  // What one request's tries share.
+  struct Delivery {
+    Delivery(const RequestContext& request_context,
+             RequestBody& request_body,
+             HttpExchange& http_exchange)
+        : context(request_context),
+          body(request_body),
+          exchange(http_exchange) {}
+
+    const RequestContext& context;
+    RequestBody& body;
+    HttpExchange& exchange;
+    // Collect the answer instead of handing it on.
+    bool collect = false;
+    std::optional<StoredAnswer> answer;
+    std::set<std::string> tried_targets;
+    std::set<std::string> tried_regions;
+    std::string last_failure_domain;
+  };
+
+  Result<void> CarryAdmitted(const RequestContext& context,
+                             HttpExchange& exchange,
+                             Yield yield);
+  // Tries places until one answers or no further try is allowed.
+  Result<void> Deliver(Delivery& delivery, Yield yield);
+  bool MayTryAgain(const Delivery& delivery, const Failure& failure);
+  // Names the region for the next try; nothing when none is left.
+  std::optional<std::string> ChooseRegion(const Delivery& delivery) const;
+
+  // Spends from a budget; when it is full, fails with `when_full`.
+  Result<void> Admit(const std::string& budget,
+                     double amount,
+                     Errc when_full,
+                     const RequestContext& context,
+                     Yield yield);
+  // Names the link budget that the answer to a forwarded request takes; empty
+  // when it takes none.
+  std::string ResponseLink(const RequestContext& context) const;
+  Result<void> TryLocal(Delivery& delivery, Yield yield);
+  Result<void> TryRegion(Delivery& delivery,
+                         const std::string& region,
+                         Yield yield);
+  Result<void> SendToEntry(Delivery& delivery,
+                           const Member& member,
+                           bool owner_hop,
+                           Yield yield);
+  const Member* ChooseEntry(const std::string& region);
+
+  // At-most-once for requests with an idempotency key.
+  Result<void> CarryKeyed(Delivery& delivery, Yield yield);
+  Result<void> RunOwned(Delivery& delivery, Yield yield);
+  Result<void> SendToOwner(Delivery& delivery,
+                           const std::string& process_id,
+                           Yield yield);
+
+  void CountOutcome(const RequestContext& context, const Failure* failure);
+
+  boost::asio::io_context& io_;
+  Metrics& metrics_;
+  CarrierServices services_;
+  HopSigner signer_;
+  RequestAdmitter admitter_;
+  ConnectionPool pool_;
+  IdempotencyTable table_;
+  IdempotencyClaims claims_;
+  RetryBudget retry_budget_;
+  std::mt19937_64 random_;
+  PeriodicTask close_idle_;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_DELIVERY_INTERNAL_REQUEST_CARRIER_H_
--- /dev/null
+++ b/src/delivery/internal/upstream_attempt.cc
@@ -0,0 +1,246 @@
+#include "delivery/internal/upstream_attempt.h"
+
+#include <algorithm>
+
+#include "budget/budgets.h"
+#include "delivery/internal/header_rules.h"
+#include "delivery/internal/request_body.h"
+#include "framework/http/http_exchange.h"
+#include "framework/http/refusal.h"
+#include "framework/metrics/metrics.h"
+#include "framework/wire/digest.h"
+
+namespace redwing {
+
+namespace {
+constexpr size_t kPiece = 16 * 1024;          // bytes
+constexpr size_t kMaxRefusal = 64 * 1024;     // bytes
+constexpr size_t kAttemptIdBytes = 8;
+constexpr Milliseconds kBodyPause{10'000};
+constexpr Milliseconds kMaxBodyTime{600'000};
+}  // namespace
+
+Result<void> UpstreamAttempt::Run(RequestBody& body,
+                                  HttpExchange& exchange,
+                                  Yield yield) {
+  const Result<ConnectionPool::ConnectionPtr> acquired =
+      pool_.Acquire(plan_.endpoint, plan_.deadline, yield);
+  if (!acquired) {
+    return acquired.error();
+  }
+  connection_ = acquired.value();
+  bool caller_gone = false;
+  const std::weak_ptr<HttpConnection> weak = connection_;
+  if (!plan_.collect && body.whole()) {
+    exchange.WatchCaller([&caller_gone, weak]() {
+      caller_gone = true;
+      const std::shared_ptr<HttpConnection> connection = weak.lock();
+      if (connection) {
+        connection->Abort();
+      }
+    });
+  }
+  Result<void> outcome = Send(body, yield);
+  if (outcome) {
+    outcome = ReadHeader(yield);
+  }
+  exchange.EndWatch();
+  if (!outcome) {
+    return caller_gone ? MayHaveRun(Errc::kCallerGone, "caller is gone")
+                       : outcome.error();
+  }
+  outcome = plan_.collect ? Collect(exchange, yield) : Relay(exchange, yield);
+  pool_.Release(plan_.endpoint, connection_);
+  return outcome;
+}
+
+Result<void> UpstreamAttempt::Send(RequestBody& body, Yield yield) {
+  attempt_id_ = RandomHex(kAttemptIdBytes);
+  plan_.header.set(BeastView(kAttemptField), attempt_id_);
+  Result<void> sent = connection_->BeginRequest(
+      std::move(plan_.header), body.held().data(), body.held().size(),
+      body.whole(), yield);
+  bool last = body.whole();
+  while (sent && !last) {
+    const Result<std::string_view> piece = body.Next(yield);
+    if (!piece) {
+      connection_->Abort();
+      return Failure{piece.error().errc, Verdict::kMayHaveRun,
+                     piece.error().detail, {}};
+    }
+    last = piece.value().empty();
+    if (!plan_.request_link.empty()) {
+      budgets_.Pace(plan_.request_link,
+                    static_cast<double>(piece.value().size()), plan_.deadline,
+                    yield);
+    }
+    sent = connection_->WriteBody(piece.value().data(), piece.value().size(),
+                                  last, yield);
+  }
+  if (sent || connection_->timed_out()) {
+    return sent;
+  }
+  // An upstream may answer before it has read the whole request.
+  return boost::outcome_v2::success();
+}
+
+Result<void> UpstreamAttempt::ReadHeader(Yield yield) {
+  const Result<void> read = connection_->ReadHeader(yield);
+  if (!read) {
+    return read.error();
+  }
+  const ResponseHeader& header = connection_->response();
+  const boost::beast::string_view echo = header[BeastView(kAttemptField)];
+  if (!echo.empty() && StdView(echo) != attempt_id_) {
+    connection_->Abort();
+    metrics_
+        .Get("redwing_answers_crossed_total",
+             "Answers that belonged to another request, in answers")
+        .Add();
+    return MayHaveRun(Errc::kTargetBroken,
+                      "the answer belongs to another request");
+  }
+  if (plan_.to_entry && header.count(std::string(kVerdictField)) > 0) {
+    return ReadRefusal(yield);
+  }
+  if (!plan_.to_entry && header.result_int() == 503 &&
+      header.count(std::string(kNotRunField)) > 0) {
+    std::string ignored(kPiece, '\0');
+    while (connection_->ReadBody(ignored.data(), ignored.size(), yield)) {
+      if (connection_->body_done()) {
+        break;
+      }
+    }
+    pool_.Release(plan_.endpoint, connection_);
+    return NotRun(Errc::kTargetShed, "the target sheds load",
+                  Milliseconds(1000));
+  }
+  if (connection_->undelimited() && !connection_->body_done()) {
+    connection_->Abort();
+    return Failure{Errc::kTargetBroken, Verdict::kRan,
+                   "the answer has neither length nor chunks", {}};
+  }
+  return boost::outcome_v2::success();
+}
+
+Failure UpstreamAttempt::ReadRefusal(Yield yield) {
+  std::string body;
+  std::string piece(kPiece, '\0');
+  while (body.size() < kMaxRefusal) {
+    const Result<size_t> size =
+        connection_->ReadBody(piece.data(), piece.size(), yield);
+    if (!size) {
+      return size.error();
+    }
+    if (size.value() == 0) {
+      break;
+    }
+    body.append(piece, 0, size.value());
+  }
+  const Failure failure =
+      ParseRefusal(connection_->response().result_int(), body);
+  pool_.Release(plan_.endpoint, connection_);
+  return failure;
+}
+
+Result<void> UpstreamAttempt::Relay(HttpExchange& exchange, Yield yield) {
+  if (connection_->body_done()) {
+    exchange.BeginResponse(CallerHeader());
+    exchange.WriteBody(nullptr, 0, true, yield);
+    return boost::outcome_v2::success();
+  }
+  const std::unique_ptr<char[]> buffer =
+      std::make_unique_for_overwrite<char[]>(kPiece);
+  connection_->ExpiresAt(Clock::now() + kBodyPause);
+  const Result<size_t> first =
+      connection_->ReadBody(buffer.get(), kPiece, yield);
+  if (!first) {
+    return Failure{Errc::kTargetBroken, Verdict::kRan,
+                   "the answer broke off", {}};
+  }
+  exchange.BeginResponse(CallerHeader());
+  StreamRest(exchange, {buffer.get(), first.value()}, yield);
+  return boost::outcome_v2::success();
+}
+
+Result<void> UpstreamAttempt::Collect(HttpExchange& exchange, Yield yield) {
+  StoredAnswer answer;
+  answer.header = CallerHeader();
+  std::string piece(kPiece, '\0');
+  while (answer.body.size() <= IdempotencyTable::kMaxAnswer) {
+    connection_->ExpiresAt(Clock::now() + kBodyPause);
+    const Result<size_t> size =
+        connection_->ReadBody(piece.data(), piece.size(), yield);
+    if (!size) {
+      return Failure{Errc::kTargetBroken, Verdict::kRan,
+                     "the answer broke off", {}};
+    }
+    if (size.value() == 0) {
+      answer_ = std::move(answer);
+      return boost::outcome_v2::success();
+    }
+    answer.body.append(piece, 0, size.value());
+  }
+  // Too large to be remembered: hand it on as it comes.
+  exchange.BeginResponse(answer.header);
+  StreamRest(exchange, answer.body, yield);
+  return boost::outcome_v2::success();
+}
+
+void UpstreamAttempt::StreamRest(HttpExchange& exchange,
+                                 std::string_view held,
+                                 Yield yield) {
+  const TimePoint end = Clock::now() + kMaxBodyTime;
+  const std::unique_ptr<char[]> buffer =
+      std::make_unique_for_overwrite<char[]>(kPiece);
+  std::string_view piece = held;
+  while (true) {
+    const bool last = connection_->body_done();
+    PaceResponse(piece.size(), end, yield);
+    if (!exchange.WriteBody(piece.data(), piece.size(), last, yield)) {
+      connection_->Abort();
+      return;
+    }
+    if (last) {
+      return;
+    }
+    connection_->ExpiresAt(
+        std::min<TimePoint>(end, Clock::now() + kBodyPause));
+    const Result<size_t> size =
+        connection_->ReadBody(buffer.get(), kPiece, yield);
+    if (!size) {
+      cut_ = true;
+      metrics_
+          .Get("redwing_answers_cut_total",
+               "Answers that broke off at the target, in answers")
+          .Add();
+      exchange.Break();
+      return;
+    }
+    piece = {buffer.get(), size.value()};
+  }
+}
+
+void UpstreamAttempt::PaceResponse(size_t bytes,
+                                   TimePoint deadline,
+                                   Yield yield) {
+  if (plan_.response_link.empty()) {
+    return;
+  }
+  const double amount = static_cast<double>(bytes);
+  const double prepaid = std::min(plan_.response_prepaid, amount);
+  plan_.response_prepaid -= prepaid;
+  if (amount > prepaid) {
+    budgets_.Pace(plan_.response_link, amount - prepaid, deadline, yield);
+  }
+}
+
+ResponseHeader UpstreamAttempt::CallerHeader() const {
+  ResponseHeader header = connection_->response();
+  RemoveHopByHopFields(&header);
+  RemoveInternalFields(&header);
+  header.erase(std::string(kNotRunField));
+  return header;
+}
+
+}  // namespace redwing
--- /dev/null
+++ b/src/delivery/internal/upstream_attempt.h
@@ -0,0 +1,83 @@
+#ifndef REDWING_DELIVERY_INTERNAL_UPSTREAM_ATTEMPT_H_
+#define REDWING_DELIVERY_INTERNAL_UPSTREAM_ATTEMPT_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "delivery/internal/connection_pool.h"
+#include "delivery/internal/idempotency_table.h"
+#include "framework/errors/result.h"
+#include "framework/http/http_types.h"
+
+namespace redwing {
+
+class Budgets;
+class HttpExchange;
+class Metrics;
+class RequestBody;
+
+// One try at one upstream: a target or another entry.
+struct AttemptPlan {
+  boost::asio::ip::tcp::endpoint endpoint;
+  RequestHeader header;
+  TimePoint deadline;
+  // The upstream is another entry, whose refusals carry a verdict.
+  bool to_entry = false;
+  // Link budgets; empty for none. The held part of the request was charged
+  // already; what is streamed is paced.
+  std::string request_link;
+  std::string response_link;
+  // Bytes of the answer that were charged to response_link already.
+  double response_prepaid = 0;
+  // Collects the whole answer before anything is handed on; the upstream goes
+  // on when the caller leaves.
+  bool collect = false;
+};
+
+// Sends a request to an upstream and hands its answer on to the caller.
+class UpstreamAttempt {
+ public:
+  UpstreamAttempt(ConnectionPool& pool,
+                  Budgets& budgets,
+                  Metrics& metrics,
+                  AttemptPlan plan)
+      : pool_(pool),
+        budgets_(budgets),
+        metrics_(metrics),
+        plan_(std::move(plan)) {}
+
+  // Runs the attempt. Success means that the answer went to the caller, whole
+  // or visibly broken off; or, with plan.collect, that answer() holds it. A
+  // failure means that nothing of an answer was sent.
+  Result<void> Run(RequestBody& body, HttpExchange& exchange, Yield yield);
+
+  std::optional<StoredAnswer>& answer() { return answer_; }
+  // Returns whether the upstream's answer broke off after its header.
+  bool cut() const { return cut_; }
+
+ private:
+  Result<void> Send(RequestBody& body, Yield yield);
+  // Reads the answer's header and turns refusals into failures.
+  Result<void> ReadHeader(Yield yield);
+  Failure ReadRefusal(Yield yield);
+  Result<void> Relay(HttpExchange& exchange, Yield yield);
+  Result<void> Collect(HttpExchange& exchange, Yield yield);
+  // Sends `held` and the rest of the answer's body on.
+  void StreamRest(HttpExchange& exchange, std::string_view held, Yield yield);
+  void PaceResponse(size_t bytes, TimePoint deadline, Yield yield);
+  ResponseHeader CallerHeader() const;
+
+  ConnectionPool& pool_;
+  Budgets& budgets_;
+  Metrics& metrics_;
+  AttemptPlan plan_;
+  ConnectionPool::ConnectionPtr connection_;
+  std::optional<StoredAnswer> answer_;
+  std::string attempt_id_;
+  bool cut_ = false;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_DELIVERY_INTERNAL_UPSTREAM_ATTEMPT_H_
--- /dev/null
+++ b/src/framework/errors/verdict.h
@@ -0,0 +1,21 @@
+#ifndef REDWING_FRAMEWORK_ERRORS_VERDICT_H_
+#define REDWING_FRAMEWORK_ERRORS_VERDICT_H_
+
+#include <string_view>
+
+namespace redwing {
+
+// Says whether a request may have run at a target. Only a kNotRun attempt, or
+// an attempt of an idempotent request, may be sent again.
+enum class Verdict {
+  kNotRun,
+  kMayHaveRun,
+  kRan,
+};
+
+// Returns the name used in JSON bodies and metrics: "not_run", ...
+std::string_view VerdictName(Verdict verdict);
+
+}  // namespace redwing
+
+#endif  // REDWING_FRAMEWORK_ERRORS_VERDICT_H_
--- /dev/null
+++ b/src/framework/http/core_module.h
@@ -0,0 +1,29 @@
+#ifndef REDWING_FRAMEWORK_HTTP_CORE_MODULE_H_
+#define REDWING_FRAMEWORK_HTTP_CORE_MODULE_H_
+
+#include <string>
+
+#include "framework/kernel/module.h"
+
+namespace redwing {
+
+// Registers what every daemon needs: metrics and the timeout sockets. Comes
+// first in a program's list of modules.
+class CoreModule : public Module {
+ public:
+  // Connections are opened from `source_address`, an IP number; empty lets the
+  // system choose.
+  explicit CoreModule(std::string source_address)
+      : source_address_(std::move(source_address)) {}
+
+  std::string_view Name() const override { return "core"; }
+  void RegisterServices(Kernel& kernel) override;
+  void ResolveDependencies(Kernel& /*kernel*/) override {}
+
+ private:
+  std::string source_address_;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_FRAMEWORK_HTTP_CORE_MODULE_H_
--- /dev/null
+++ b/src/framework/http/header_check.h
@@ -0,0 +1,24 @@
+#ifndef REDWING_FRAMEWORK_HTTP_HEADER_CHECK_H_
+#define REDWING_FRAMEWORK_HTTP_HEADER_CHECK_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "framework/http/http_types.h"
+
+namespace redwing {
+
+// Checks the raw bytes of a request head, up to and including the empty line,
+// for shapes on which two HTTP parsers may disagree: line folding, bare CR or
+// LF, NUL, white space around field names. RFC 9112 sections 2.2, 5.1, 5.2.
+std::optional<std::string> FindRawHeaderProblem(std::string_view raw);
+
+// Checks the framing fields of a parsed request: several or malformed lengths,
+// a length together with a transfer coding, a coding other than "chunked",
+// no or several Host fields. RFC 9112 sections 3.2 and 6.3.
+std::optional<std::string> FindFramingProblem(const RequestHeader& header);
+
+}  // namespace redwing
+
+#endif  // REDWING_FRAMEWORK_HTTP_HEADER_CHECK_H_
--- /dev/null
+++ b/src/framework/http/http_connection.h
@@ -0,0 +1,74 @@
+#ifndef REDWING_FRAMEWORK_HTTP_HTTP_CONNECTION_H_
+#define REDWING_FRAMEWORK_HTTP_HTTP_CONNECTION_H_
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <memory>
+#include <optional>
+
+#include "framework/errors/result.h"
+#include "framework/http/http_types.h"
+#include "framework/http/timed_socket.h"
+
+namespace redwing {
+
+// A client connection that carries one exchange at a time. Its deadline bounds
+// every operation. After an exchange that did not end cleanly it must not be
+// reused: reusable() is false.
+class HttpConnection {
+ public:
+  HttpConnection(boost::asio::io_context& io, SocketRegistry& sockets);
+
+  // Connects. Failures are kNotRun.
+  Result<void> Connect(const boost::asio::ip::tcp::endpoint& endpoint,
+                       TimePoint deadline,
+                       Yield yield);
+
+  void ExpiresAt(TimePoint deadline) { socket_.ExpiresAt(deadline); }
+
+  // Begins an exchange: sends the header with the first part of the body.
+  // Failures are kMayHaveRun, since bytes may have arrived.
+  Result<void> BeginRequest(RequestHeader header,
+                            const char* data,
+                            size_t size,
+                            bool last,
+                            Yield yield);
+  Result<void> WriteBody(const char* data, size_t size, bool last, Yield yield);
+
+  // Reads the response's header; informational responses are skipped.
+  Result<void> ReadHeader(Yield yield);
+  const ResponseHeader& response() const { return parser_->get(); }
+  std::optional<uint64_t> content_length() const;
+  // Returns whether only the end of the connection would end the body, so that
+  // a cut could not be told from the end.
+  bool undelimited() const { return parser_->need_eof(); }
+  bool body_done() const { return parser_->is_done(); }
+  // Reads the next part of the body; 0 means its end.
+  Result<size_t> ReadBody(char* data, size_t size, Yield yield);
+
+  // Returns whether the last exchange ended cleanly and the peer keeps the
+  // connection open.
+  bool reusable();
+
+  // Ends every running operation with an error.
+  void Abort() { socket_.Close(); }
+  bool timed_out() const { return socket_.timed_out(); }
+
+ private:
+  Failure Broken(const boost::system::error_code& ec) const;
+
+  SocketRegistry& sockets_;
+  TimedSocket socket_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<http::request<http::buffer_body>> request_;
+  std::optional<http::request_serializer<http::buffer_body>> serializer_;
+  std::optional<http::response_parser<http::buffer_body>> parser_;
+  bool request_sent_ = false;
+  bool head_request_ = false;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_FRAMEWORK_HTTP_HTTP_CONNECTION_H_
--- /dev/null
+++ b/src/framework/http/http_exchange.h
@@ -0,0 +1,104 @@
+#ifndef REDWING_FRAMEWORK_HTTP_HTTP_EXCHANGE_H_
+#define REDWING_FRAMEWORK_HTTP_HTTP_EXCHANGE_H_
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "framework/errors/result.h"
+#include "framework/http/http_types.h"
+#include "framework/kernel/clock.h"
+
+namespace redwing {
+
+class TimedSocket;
+
+// One request and its response on a server connection. Bodies are streamed;
+// at most one buffer of each direction is held.
+class HttpExchange {
+ public:
+  using Parser = http::request_parser<http::buffer_body>;
+
+  HttpExchange(TimedSocket& socket,
+               boost::beast::flat_buffer& buffer,
+               Parser& parser,
+               Milliseconds io_timeout);
+  ~HttpExchange();
+  HttpExchange(const HttpExchange&) = delete;
+  HttpExchange& operator=(const HttpExchange&) = delete;
+
+  const RequestHeader& request() const { return parser_.get(); }
+  std::string_view target() const { return StdView(request().target()); }
+  std::string_view method() const { return StdView(request().method_string()); }
+  std::string_view Header(std::string_view name) const;
+  bool has_body() const { return !parser_.is_done(); }
+  std::optional<uint64_t> content_length() const;
+
+  // Reads the next part of the request body; 0 means the end. Sends
+  // "100 Continue" first if the caller waits for it.
+  Result<size_t> ReadBody(char* data, size_t size, Yield yield);
+  // Reads the whole body, refusing more than `limit` bytes.
+  Result<std::string> ReadWholeBody(size_t limit, Yield yield);
+
+  // Sends a complete response.
+  void Respond(ResponseHeader header, std::string_view body, Yield yield);
+  void Respond(unsigned status,
+               std::string_view content_type,
+               std::string_view body,
+               Yield yield);
+
+  // Begins a streamed response. The header is sent with the first WriteBody().
+  // Without a Content-Length the body goes out chunked.
+  void BeginResponse(ResponseHeader header);
+  // Writes a part of the body; `last` ends the response. Returns false when
+  // the connection is broken.
+  bool WriteBody(const char* data, size_t size, bool last, Yield yield);
+
+  // Breaks the connection off, so that the caller sees the answer is not whole.
+  void Break();
+
+  // Asks for the connection to be closed after this response.
+  void CloseAfterwards() { keep_alive_ = false; }
+
+  // Calls `on_gone` when the caller closes its connection before the response
+  // has begun.
+  void WatchCaller(std::function<void()> on_gone);
+  // Ends the watch; called by the exchange itself before it writes.
+  void EndWatch();
+
+  bool response_begun() const { return response_begun_; }
+  bool response_complete() const { return response_complete_; }
+  bool broken() const { return broken_; }
+  bool keep_alive() const { return keep_alive_; }
+
+ private:
+  struct Watch;
+  using Response = http::response<http::buffer_body>;
+  using Serializer = http::response_serializer<http::buffer_body>;
+
+  bool SendContinue(Yield yield);
+  bool Write(Yield yield);
+
+  TimedSocket& socket_;
+  boost::beast::flat_buffer& buffer_;
+  Parser& parser_;
+  Milliseconds io_timeout_;
+  std::optional<Response> response_;
+  std::optional<Serializer> serializer_;
+  std::shared_ptr<Watch> watch_;
+  bool continue_sent_ = false;
+  bool response_begun_ = false;
+  bool response_complete_ = false;
+  bool broken_ = false;
+  bool keep_alive_ = true;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_FRAMEWORK_HTTP_HTTP_EXCHANGE_H_
--- /dev/null
+++ b/src/framework/http/http_server.h
@@ -0,0 +1,73 @@
+#ifndef REDWING_FRAMEWORK_HTTP_HTTP_SERVER_H_
+#define REDWING_FRAMEWORK_HTTP_HTTP_SERVER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <unordered_set>
+
+#include "framework/http/http_handler.h"
+#include "framework/kernel/clock.h"
+
+namespace redwing {
+
+class HttpSession;
+class Metrics;
+class SocketRegistry;
+
+// Bounds of one server.
+struct HttpServerLimits {
+  size_t header_bytes = 16 * 1024;
+  uint64_t body_bytes = 64ULL * 1024 * 1024;
+  size_t connections = 4096;
+  Milliseconds idle_timeout{60'000};
+  Milliseconds header_timeout{10'000};
+  // Longest pause within a body, in either direction.
+  Milliseconds io_timeout{10'000};
+};
+
+// Accepts HTTP/1.1 connections and hands their requests to a handler, one
+// coroutine a connection.
+class HttpServer {
+ public:
+  HttpServer(boost::asio::io_context& io,
+             SocketRegistry& sockets,
+             Metrics& metrics,
+             HttpHandler& handler,
+             HttpServerLimits limits);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  // Binds and begins to accept. Throws boost::system::system_error when the
+  // address cannot be bound.
+  void Listen(const boost::asio::ip::tcp::endpoint& endpoint);
+  boost::asio::ip::tcp::endpoint local_endpoint() const;
+
+  // Ends accepting; idle connections close, busy ones after their response.
+  void BeginDrain();
+  bool draining() const { return draining_; }
+
+  size_t connection_count() const { return sessions_.size(); }
+  // Number of connections with a request in work.
+  size_t busy_count() const;
+
+ private:
+  friend class HttpSession;
+
+  void Accept();
+  void Remove(HttpSession* session);
+
+  boost::asio::io_context& io_;
+  SocketRegistry& sockets_;
+  Metrics& metrics_;
+  HttpHandler& handler_;
+  HttpServerLimits limits_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::unordered_set<HttpSession*> sessions_;
+  bool draining_ = false;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_FRAMEWORK_HTTP_HTTP_SERVER_H_
--- /dev/null
+++ b/src/framework/http/internal/http_connection.cc
@@ -0,0 +1,122 @@
+#include "framework/http/http_connection.h"
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <limits>
+
+#include "framework/http/socket_registry.h"
+
+namespace redwing {
+
+namespace {
+constexpr uint32_t kResponseHeaderLimit = 64 * 1024;  // bytes
+}  // namespace
+
+HttpConnection::HttpConnection(boost::asio::io_context& io,
+                               SocketRegistry& sockets)
+    : sockets_(sockets), socket_(sockets, boost::asio::ip::tcp::socket(io)) {}
+
+Result<void> HttpConnection::Connect(
+    const boost::asio::ip::tcp::endpoint& endpoint,
+    TimePoint deadline,
+    Yield yield) {
+  socket_.ExpiresAt(deadline);
+  boost::system::error_code ec;
+  sockets_.OpenFor(endpoint, socket_.socket());
+  socket_.socket().async_connect(endpoint, yield[ec]);
+  if (!ec) {
+    socket_.socket().set_option(boost::asio::ip::tcp::no_delay(true), ec);
+  }
+  if (ec) {
+    return NotRun(Errc::kTargetUnreachable,
+                  socket_.timed_out() ? "connecting timed out" : ec.message());
+  }
+  return boost::outcome_v2::success();
+}
+
+Result<void> HttpConnection::BeginRequest(RequestHeader header,
+                                          const char* data,
+                                          size_t size,
+                                          bool last,
+                                          Yield yield) {
+  head_request_ = header.method() == http::verb::head;
+  request_sent_ = false;
+  serializer_.reset();
+  parser_.emplace();
+  parser_->header_limit(kResponseHeaderLimit);
+  parser_->body_limit(std::numeric_limits<uint64_t>::max());
+  parser_->skip(head_request_);
+  request_.emplace(std::move(header));
+  serializer_.emplace(*request_);
+  return WriteBody(data, size, last, yield);
+}
+
+Result<void> HttpConnection::WriteBody(const char* data,
+                                       size_t size,
+                                       bool last,
+                                       Yield yield) {
+  request_->body().data = size == 0 ? nullptr : const_cast<char*>(data);
+  request_->body().size = size;
+  request_->body().more = !last;
+  boost::system::error_code ec;
+  http::async_write(socket_.socket(), *serializer_, yield[ec]);
+  if (ec && ec != http::error::need_buffer) {
+    return Broken(ec);
+  }
+  request_sent_ = last;
+  return boost::outcome_v2::success();
+}
+
+Result<void> HttpConnection::ReadHeader(Yield yield) {
+  boost::system::error_code ec;
+  while (true) {
+    http::async_read_header(socket_.socket(), buffer_, *parser_, yield[ec]);
+    if (ec) {
+      return Broken(ec);
+    }
+    const unsigned status = parser_->get().result_int();
+    if (status >= 200) {
+      return boost::outcome_v2::success();
+    }
+    parser_.emplace();
+    parser_->header_limit(kResponseHeaderLimit);
+    parser_->body_limit(std::numeric_limits<uint64_t>::max());
+    parser_->skip(head_request_);
+  }
+}
+
+std::optional<uint64_t> HttpConnection::content_length() const {
+  const boost::optional<uint64_t> length = parser_->content_length();
+  return length ? std::optional<uint64_t>(*length) : std::nullopt;
+}
+
+Result<size_t> HttpConnection::ReadBody(char* data, size_t size, Yield yield) {
+  if (parser_->is_done()) {
+    return 0;
+  }
+  parser_->get().body().data = data;
+  parser_->get().body().size = size;
+  boost::system::error_code ec;
+  while (!ec && !parser_->is_done() && parser_->get().body().size == size) {
+    http::async_read_some(socket_.socket(), buffer_, *parser_, yield[ec]);
+  }
+  if (ec && ec != http::error::need_buffer) {
+    return Broken(ec);
+  }
+  return size - parser_->get().body().size;
+}
+
+bool HttpConnection::reusable() {
+  return socket_.socket().is_open() && request_sent_ && parser_ &&
+         parser_->is_done() && parser_->keep_alive() && buffer_.size() == 0 &&
+         socket_.IsQuiet();
+}
+
+Failure HttpConnection::Broken(const boost::system::error_code& ec) const {
+  if (socket_.timed_out()) {
+    return MayHaveRun(Errc::kTargetTimeout, "no answer before the deadline");
+  }
+  return MayHaveRun(Errc::kTargetBroken, ec.message());
+}
+
+}  // namespace redwing
--- /dev/null
+++ b/src/framework/http/internal/refusal.cc
@@ -0,0 +1,80 @@
+#include "framework/http/refusal.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "framework/http/http_exchange.h"
+
+namespace redwing {
+
+namespace {
+
+int64_t RetryAfterSeconds(const Failure& failure) {
+  constexpr int64_t kMillisPerSecond = 1000;
+  return std::max<int64_t>(
+      1, (failure.retry_after.count() + kMillisPerSecond - 1) /
+             kMillisPerSecond);
+}
+
+}  // namespace
+
+std::string RefusalBody(const Failure& failure) {
+  nlohmann::json body = {{"error", ErrcName(failure.errc)},
+                         {"verdict", VerdictName(failure.verdict)},
+                         {"detail", failure.detail}};
+  if (failure.retry_after.count() > 0) {
+    body["retry_after_ms"] = failure.retry_after.count();
+  }
+  return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+ResponseHeader RefusalHeader(const Failure& failure) {
+  ResponseHeader header;
+  header.version(11);
+  header.result(ErrcHttpStatus(failure.errc));
+  header.set(http::field::content_type, "application/json");
+  header.set("X-Redwing-Verdict", BeastView(VerdictName(failure.verdict)));
+  if (failure.retry_after.count() > 0) {
+    header.set(http::field::retry_after,
+               std::to_string(RetryAfterSeconds(failure)));
+  }
+  return header;
+}
+
+std::string RefusalText(const Failure& failure) {
+  const std::string body = RefusalBody(failure);
+  const unsigned status = ErrcHttpStatus(failure.errc);
+  return fmt::format(
+      "HTTP/1.1 {} {}\r\nContent-Type: application/json\r\n"
+      "X-Redwing-Verdict: {}\r\nContent-Length: {}\r\n"
+      "Connection: close\r\n\r\n{}",
+      status, StdView(http::obsolete_reason(http::int_to_status(status))),
+      VerdictName(failure.verdict), body.size(), body);
+}
+
+void SendRefusal(HttpExchange& exchange, const Failure& failure, Yield yield) {
+  exchange.Respond(RefusalHeader(failure), RefusalBody(failure), yield);
+}
+
+Failure ParseRefusal(unsigned status, const std::string& body) {
+  const nlohmann::json json =
+      nlohmann::json::parse(body, nullptr, /*allow_exceptions=*/false);
+  if (!json.is_object() || !json.contains("error")) {
+    return MayHaveRun(Errc::kInternal,
+                      fmt::format("status {} without an error name", status));
+  }
+  Failure failure;
+  failure.errc = ErrcFromName(json.value("error", ""));
+  failure.detail = json.value("detail", "");
+  failure.retry_after = Milliseconds(json.value("retry_after_ms", 0));
+  const std::string verdict = json.value("verdict", "");
+  failure.verdict = verdict == VerdictName(Verdict::kNotRun) ? Verdict::kNotRun
+                    : verdict == VerdictName(Verdict::kRan)
+                        ? Verdict::kRan
+                        : Verdict::kMayHaveRun;
+  return failure;
+}
+
+}  // namespace redwing
--- /dev/null
+++ b/src/framework/http/internal/timed_socket.cc
@@ -0,0 +1,33 @@
+#include "framework/http/timed_socket.h"
+
+#include <sys/socket.h>
+
+#include <cerrno>
+
+#include "framework/http/socket_registry.h"
+
+namespace redwing {
+
+TimedSocket::TimedSocket(SocketRegistry& sockets,
+                         boost::asio::ip::tcp::socket socket)
+    : sockets_(sockets), socket_(std::move(socket)) {
+  sockets_.Add(this);
+}
+
+TimedSocket::~TimedSocket() {
+  sockets_.Remove(this);
+}
+
+void TimedSocket::Close() {
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+}
+
+bool TimedSocket::IsQuiet() {
+  char byte = 0;
+  const ssize_t size =
+      recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+}  // namespace redwing
--- /dev/null
+++ b/src/framework/kernel/internal/periodic_task.cc
@@ -0,0 +1,29 @@
+#include "framework/kernel/periodic_task.h"
+
+namespace redwing {
+
+PeriodicTask::PeriodicTask(boost::asio::io_context& io,
+                           Milliseconds interval,
+                           std::function<void()> function)
+    : timer_(io), interval_(interval), function_(std::move(function)) {}
+
+void PeriodicTask::Start() {
+  Schedule();
+}
+
+void PeriodicTask::Stop() {
+  timer_.cancel();
+}
+
+void PeriodicTask::Schedule() {
+  timer_.expires_after(interval_);
+  timer_.async_wait([this](const boost::system::error_code& ec) {
+    if (ec) {
+      return;
+    }
+    Schedule();
+    function_();
+  });
+}
+
+}  // namespace redwing
--- /dev/null
+++ b/src/framework/metrics/metrics.h
@@ -0,0 +1,52 @@
+#ifndef REDWING_FRAMEWORK_METRICS_METRICS_H_
+#define REDWING_FRAMEWORK_METRICS_METRICS_H_
+
+#include <initializer_list>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "framework/metrics/counter.h"
+
+namespace redwing {
+
+enum class MetricKind { kCounter, kGauge };
+
+// Registry of a process's metrics, rendered in the Prometheus text format.
+// References to counters stay valid as long as the registry.
+class Metrics {
+ public:
+  static constexpr std::string_view kServiceName = "metrics";
+
+  using Label = std::pair<std::string_view, std::string_view>;
+
+  // Returns the counter with this name and labels, created on first use.
+  // `help` states the unit.
+  Counter& Get(std::string_view name,
+               std::string_view help,
+               std::initializer_list<Label> labels = {},
+               MetricKind kind = MetricKind::kCounter);
+
+  Counter& Gauge(std::string_view name,
+                 std::string_view help,
+                 std::initializer_list<Label> labels = {}) {
+    return Get(name, help, labels, MetricKind::kGauge);
+  }
+
+  // Renders all metrics.
+  std::string PrometheusText() const;
+
+ private:
+  struct Family {
+    std::string help;
+    MetricKind kind;
+    std::map<std::string, Counter> series;
+  };
+
+  std::map<std::string, Family, std::less<>> families_;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_FRAMEWORK_METRICS_METRICS_H_
--- /dev/null
+++ b/src/framework/peer/internal/socket_peer_transport.cc
@@ -0,0 +1,265 @@
+#include "framework/peer/internal/socket_peer_transport.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/endian/conversion.hpp>
+
+#include "framework/http/socket_registry.h"
+#include "framework/http/timed_socket.h"
+#include "framework/metrics/metrics.h"
+#include "framework/settings/endpoint.h"
+#include "framework/wire/digest.h"
+
+namespace redwing {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::asio::ip::udp;
+
+constexpr Milliseconds kServeTimeout{5'000};
+constexpr size_t kNonceBytes = 16;
+constexpr size_t kNonceText = kNonceBytes * 2;
+constexpr int kReceiveBuffer = 1024 * 1024;  // bytes
+
+// Incarnations grow from one start of an instance to the next while its clock
+// does; where it went back, peers answer with the incarnation they have seen.
+uint64_t StartIncarnation() {
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<Microseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+// Frames are a 4-byte big-endian length and that many bytes.
+Result<std::string> ReadFrame(TimedSocket& socket, Yield yield) {
+  boost::system::error_code ec;
+  uint32_t length = 0;
+  boost::asio::async_read(socket.socket(),
+                          boost::asio::buffer(&length, sizeof(length)),
+                          yield[ec]);
+  boost::endian::big_to_native_inplace(length);
+  if (ec || length > EnvelopeCodec::kMaxBytes) {
+    return NotRun(Errc::kPeerUnreachable, ec ? ec.message() : "oversized");
+  }
+  std::string bytes(length, '\0');
+  boost::asio::async_read(socket.socket(), boost::asio::buffer(bytes),
+                          yield[ec]);
+  if (ec) {
+    return NotRun(Errc::kPeerUnreachable, ec.message());
+  }
+  return bytes;
+}
+
+bool WriteFrame(TimedSocket& socket, const std::string& bytes, Yield yield) {
+  const uint32_t length =
+      boost::endian::native_to_big(static_cast<uint32_t>(bytes.size()));
+  std::string frame(reinterpret_cast<const char*>(&length), sizeof(length));
+  frame += bytes;
+  boost::system::error_code ec;
+  boost::asio::async_write(socket.socket(), boost::asio::buffer(frame),
+                           yield[ec]);
+  return !ec;
+}
+
+}  // namespace
+
+SocketPeerTransport::SocketPeerTransport(boost::asio::io_context& io,
+                                         SocketRegistry& sockets,
+                                         Metrics& metrics,
+                                         std::string own_name,
+                                         std::vector<std::string> secrets)
+    : io_(io),
+      sockets_(sockets),
+      metrics_(metrics),
+      own_name_(std::move(own_name)),
+      codec_(std::move(secrets)),
+      socket_(io),
+      acceptor_(io),
+      incarnation_(StartIncarnation()) {}
+
+SocketPeerTransport::~SocketPeerTransport() = default;
+
+void SocketPeerTransport::Listen(const udp::endpoint& endpoint) {
+  socket_.open(endpoint.protocol());
+  socket_.set_option(
+      boost::asio::socket_base::receive_buffer_size(kReceiveBuffer));
+  socket_.bind(endpoint);
+  socket_.non_blocking(true);
+  const tcp::endpoint tcp_endpoint(endpoint.address(),
+                                   socket_.local_endpoint().port());
+  acceptor_.open(tcp_endpoint.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(tcp_endpoint);
+  acceptor_.listen();
+  Receive();
+  Accept();
+}
+
+void SocketPeerTransport::Stop() {
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+  acceptor_.close(ignored);
+}
+
+void SocketPeerTransport::OnDatagram(MessageKind kind,
+                                     DatagramHandler handler) {
+  datagram_handlers_[kind] = std::move(handler);
+}
+
+void SocketPeerTransport::OnCall(MessageKind kind, CallHandler handler) {
+  call_handlers_[kind] = std::move(handler);
+}
+
+void SocketPeerTransport::Send(const udp::endpoint& to,
+                               MessageKind kind,
+                               const std::string& payload) {
+  const std::string bytes = codec_.Encode(Wrap(kind, payload));
+  boost::system::error_code ec;
+  // A full send buffer loses the datagram, as the network may.
+  socket_.send_to(boost::asio::buffer(bytes), to, 0, ec);
+  metrics_
+      .Get("redwing_peer_sent_bytes_total", "Datagram payload sent, in bytes")
+      .Add(bytes.size());
+}
+
+Result<std::string> SocketPeerTransport::Call(const tcp::endpoint& to,
+                                              MessageKind kind,
+                                              const std::string& payload,
+                                              Milliseconds timeout,
+                                              Yield yield) {
+  TimedSocket socket(sockets_, tcp::socket(io_));
+  socket.ExpiresAfter(timeout);
+  boost::system::error_code ec;
+  sockets_.OpenFor(to, socket.socket());
+  socket.socket().async_connect(to, yield[ec]);
+  if (ec) {
+    return NotRun(Errc::kPeerUnreachable, ec.message());
+  }
+  const std::string nonce = RandomHex(kNonceBytes);
+  const std::string request = codec_.Encode(Wrap(kind, nonce + payload));
+  if (!WriteFrame(socket, request, yield)) {
+    return MayHaveRun(Errc::kPeerUnreachable, "sending failed");
+  }
+  const Result<std::string> bytes = ReadFrame(socket, yield);
+  if (!bytes) {
+    return bytes.error();
+  }
+  metrics_.Get("redwing_peer_call_bytes_total",
+               "Bytes of calls to peers and their replies")
+      .Add(request.size() + bytes.value().size());
+  const Result<Envelope> reply = codec_.Decode(bytes.value());
+  if (!reply || reply.value().payload.compare(0, kNonceText, nonce) != 0) {
+    CountDropped("call_reply");
+    return MayHaveRun(Errc::kBadMessage, "reply of another call");
+  }
+  return reply.value().payload.substr(kNonceText);
+}
+
+void SocketPeerTransport::RaiseIncarnation(uint64_t seen) {
+  if (seen > incarnation_) {
+    incarnation_ = seen + 1;
+  }
+}
+
+std::string SocketPeerTransport::local_address() const {
+  return FormatEndpoint(acceptor_.local_endpoint());
+}
+
+Envelope SocketPeerTransport::Wrap(MessageKind kind, std::string payload) {
+  return {own_name_, incarnation_, ++sequence_, kind, std::move(payload)};
+}
+
+void SocketPeerTransport::Receive() {
+  socket_.async_receive_from(
+      boost::asio::buffer(buffer_), from_,
+      [this](const boost::system::error_code& ec, size_t size) {
+        if (!socket_.is_open()) {
+          return;
+        }
+        if (!ec) {
+          HandleDatagram({buffer_.data(), size});
+        }
+        Receive();
+      });
+}
+
+void SocketPeerTransport::HandleDatagram(std::string_view bytes) {
+  metrics_
+      .Get("redwing_peer_received_bytes_total",
+           "Datagram payload received, in bytes")
+      .Add(bytes.size());
+  const Result<Envelope> envelope = codec_.Decode(bytes);
+  if (!envelope) {
+    CountDropped(envelope.error().detail == "digest" ? "digest" : "malformed");
+    return;
+  }
+  const Envelope& message = envelope.value();
+  if (message.sender == own_name_) {
+    CountDropped("own_name");
+    return;
+  }
+  if (!windows_[message.sender].Accept(message.incarnation,
+                                       message.sequence)) {
+    CountDropped("replayed");
+    return;
+  }
+  const auto handler = datagram_handlers_.find(message.kind);
+  if (handler == datagram_handlers_.end()) {
+    CountDropped("unknown_kind");
+    return;
+  }
+  handler->second(message, from_);
+}
+
+void SocketPeerTransport::Accept() {
+  acceptor_.async_accept(
+      [this](const boost::system::error_code& ec, tcp::socket accepted) {
+        if (!acceptor_.is_open()) {
+          return;
+        }
+        if (!ec) {
+          auto socket =
+              std::make_shared<TimedSocket>(sockets_, std::move(accepted));
+          socket->ExpiresAfter(kServeTimeout);
+          boost::asio::spawn(io_, [this, socket](const Yield& yield) {
+            ServeCall(*socket, yield);
+          });
+        }
+        Accept();
+      });
+}
+
+void SocketPeerTransport::ServeCall(TimedSocket& socket, Yield yield) {
+  const Result<std::string> bytes = ReadFrame(socket, yield);
+  if (!bytes) {
+    return;
+  }
+  const Result<Envelope> envelope = codec_.Decode(bytes.value());
+  if (!envelope || envelope.value().payload.size() < kNonceText) {
+    CountDropped("call");
+    return;
+  }
+  const Envelope& call = envelope.value();
+  const auto handler = call_handlers_.find(call.kind);
+  if (handler == call_handlers_.end()) {
+    CountDropped("unknown_kind");
+    return;
+  }
+  Envelope stripped = call;
+  stripped.payload = call.payload.substr(kNonceText);
+  const std::string reply =
+      call.payload.substr(0, kNonceText) + handler->second(stripped);
+  WriteFrame(socket, codec_.Encode(Wrap(call.kind, reply)), yield);
+}
+
+void SocketPeerTransport::CountDropped(std::string_view reason) {
+  metrics_
+      .Get("redwing_peer_dropped_total",
+           "Messages of peers that were dropped, in messages",
+           {{"reason", reason}})
+      .Add();
+}
+
+}  // namespace redwing
--- /dev/null
+++ b/src/framework/wire/payload.h
@@ -0,0 +1,41 @@
+#ifndef REDWING_FRAMEWORK_WIRE_PAYLOAD_H_
+#define REDWING_FRAMEWORK_WIRE_PAYLOAD_H_
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <sstream>
+#include <string>
+
+#include "framework/errors/result.h"
+
+namespace redwing {
+
+// Encodes a message struct with a cereal serialize() member.
+template <typename Message>
+std::string EncodePayload(const Message& message) {
+  std::ostringstream stream;
+  cereal::PortableBinaryOutputArchive archive(stream);
+  archive(message);
+  return stream.str();
+}
+
+// Decodes what EncodePayload() wrote. Bytes after the message are allowed, so
+// that newer versions can append fields.
+template <typename Message>
+Result<Message> DecodePayload(const std::string& bytes) {
+  try {
+    std::istringstream stream(bytes);
+    cereal::PortableBinaryInputArchive archive(stream);
+    Message message;
+    archive(message);
+    return message;
+  } catch (const std::exception& exception) {
+    return NotRun(Errc::kBadMessage, exception.what());
+  }
+}
+
+}  // namespace redwing
+
+#endif  // REDWING_FRAMEWORK_WIRE_PAYLOAD_H_
--- /dev/null
+++ b/src/keys/key_ring.h
@@ -0,0 +1,47 @@
+#ifndef REDWING_KEYS_KEY_RING_H_
+#define REDWING_KEYS_KEY_RING_H_
+
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "framework/errors/result.h"
+#include "keys/key_record.h"
+
+namespace redwing {
+
+// The issued keys and the set of withdrawn ones. Withdrawals only grow and are
+// merged as sets, so they can arrive in any order and more than once.
+class KeyRing {
+ public:
+  static constexpr std::string_view kServiceName = "key_ring";
+
+  // Replaces the records of one shard.
+  void SetShard(const std::string& shard, std::vector<KeyRecord> records);
+
+  // Adds withdrawn key ids; returns those that were new.
+  std::vector<std::string> Withdraw(const std::vector<std::string>& ids);
+  bool IsWithdrawn(const std::string& id) const {
+    return withdrawn_.count(id) > 0;
+  }
+  const std::set<std::string>& withdrawn() const { return withdrawn_; }
+  // Hash of the set of withdrawn ids, equal on instances with equal sets.
+  uint64_t withdrawn_hash() const { return withdrawn_hash_; }
+
+  // Returns the record to which a key belongs. Fails with kUnknownKey or
+  // kKeyWithdrawn, always kNotRun.
+  Result<const KeyRecord*> Check(std::string_view key_text) const;
+
+ private:
+  std::map<std::string, std::vector<std::string>> shard_ids_;
+  std::unordered_map<std::string, KeyRecord> records_;
+  std::set<std::string> withdrawn_;
+  uint64_t withdrawn_hash_ = 0;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_KEYS_KEY_RING_H_
--- /dev/null
+++ b/src/membership/heartbeat.h
@@ -0,0 +1,52 @@
+#ifndef REDWING_MEMBERSHIP_HEARTBEAT_H_
+#define REDWING_MEMBERSHIP_HEARTBEAT_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace redwing {
+
+// Number of requests that an instance has in work at a target.
+struct TargetWork {
+  uint32_t target_hash = 0;
+  uint16_t outstanding = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(target_hash, outstanding);
+  }
+};
+
+// Sent by each instance to each other at a fixed interval.
+struct Heartbeat {
+  std::string region;
+  std::string failure_domain;
+  std::string http_address;
+  std::string peer_address;
+  std::string process_id;
+  bool leaving = false;
+  uint64_t beat = 0;
+  // Number of the receiver's beat that the sender heard last, 0 for none.
+  uint64_t echoed_beat = 0;
+  // Incarnation of the receiver which the sender has seen last.
+  uint64_t incarnation_seen = 0;
+  uint64_t state_digest = 0;
+  uint64_t withdrawn_hash = 0;
+  // Part of its service capacity in use, 0 to 1000.
+  uint16_t load_permille = 0;
+  // Epoch of the idempotency keys that the sender accepts now.
+  uint32_t key_epoch = 0;
+  std::vector<TargetWork> work;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(region, failure_domain, http_address, peer_address, process_id,
+            leaving, beat, echoed_beat, incarnation_seen, state_digest,
+            withdrawn_hash, load_permille, key_epoch, work);
+  }
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_MEMBERSHIP_HEARTBEAT_H_
--- /dev/null
+++ b/src/membership/internal/heartbeat_membership.h
@@ -0,0 +1,87 @@
+#ifndef REDWING_MEMBERSHIP_INTERNAL_HEARTBEAT_MEMBERSHIP_H_
+#define REDWING_MEMBERSHIP_INTERNAL_HEARTBEAT_MEMBERSHIP_H_
+
+#include <deque>
+#include <memory>
+#include <vector>
+
+#include "framework/kernel/periodic_task.h"
+#include "membership/identity.h"
+#include "membership/membership.h"
+
+namespace redwing {
+
+class Metrics;
+class PeerTransport;
+struct Envelope;
+
+// Membership by heartbeats between all instances, seeded by the platform's
+// list and by addresses from the settings.
+class HeartbeatMembership : public Membership {
+ public:
+  HeartbeatMembership(boost::asio::io_context& io,
+                      Metrics& metrics,
+                      std::shared_ptr<Identity> identity,
+                      MembershipOptions options,
+                      std::vector<std::string> seeds);
+
+  void Attach(std::shared_ptr<PeerTransport> transport);
+  void Start();
+  void Stop();
+
+  const MemberMap& members() const override { return members_; }
+  const Member* Find(std::string_view name) const override;
+  void ApplyList(const std::vector<ListedInstance>& instances) override;
+  size_t listed_count() const override;
+  void MarkSynced(const std::string& name, TimePoint time) override;
+  void AnnounceLeaving() override;
+  bool leaving() const override { return leaving_; }
+  void BeatNow() override;
+  void AddBeatSource(std::function<void(Heartbeat&)> source) override;
+  void SetStateComparer(
+      std::function<bool(const std::string&, const Heartbeat&)> comparer)
+      override;
+  Channel<Member, Heartbeat>& on_heartbeat() override { return on_heartbeat_; }
+  Channel<Member>& on_change() override { return on_change_; }
+  Channel<Milliseconds>& on_pause() override { return on_pause_; }
+
+ private:
+  struct SentBeat {
+    uint64_t beat;
+    TimePoint at;
+  };
+
+  void Tick();
+  void HandleHeartbeat(const Envelope& envelope);
+  void NoteSync(Member& member, const Heartbeat& heartbeat);
+  void UpdateState(Member& member, MemberState state);
+  void FindSuspects(TimePoint now);
+  Heartbeat MakeHeartbeat();
+  // Beats to the own region go at every tick: its instances share targets.
+  void BeatRegion();
+  void SendBeat(Heartbeat& heartbeat, const Member& member);
+
+  boost::asio::io_context& io_;
+  Metrics& metrics_;
+  std::shared_ptr<Identity> identity_;
+  MembershipOptions options_;
+  std::vector<std::string> seeds_;
+  std::shared_ptr<PeerTransport> transport_;
+  MemberMap members_;
+  bool list_known_ = false;
+  bool leaving_ = false;
+  uint64_t beat_ = 0;
+  std::deque<SentBeat> sent_beats_;
+  TimePoint last_tick_;
+  TimePoint last_beat_;
+  std::vector<std::function<void(Heartbeat&)>> beat_sources_;
+  std::function<bool(const std::string&, const Heartbeat&)> comparer_;
+  Channel<Member, Heartbeat> on_heartbeat_;
+  Channel<Member> on_change_;
+  Channel<Milliseconds> on_pause_;
+  PeriodicTask tick_;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_MEMBERSHIP_INTERNAL_HEARTBEAT_MEMBERSHIP_H_
--- /dev/null
+++ b/src/membership/member.h
@@ -0,0 +1,44 @@
+#ifndef REDWING_MEMBERSHIP_MEMBER_H_
+#define REDWING_MEMBERSHIP_MEMBER_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <string>
+
+#include "framework/kernel/clock.h"
+
+namespace redwing {
+
+// How an instance appears to another one.
+enum class MemberState { kUnknown, kAlive, kSuspect, kLeaving };
+
+std::string_view MemberStateName(MemberState state);
+
+// Another instance of the fleet.
+struct Member {
+  std::string name;
+  std::string region;
+  std::string failure_domain;
+  std::string http_address;
+  std::string peer_address;
+  // Identifies one process; a restart changes it.
+  std::string process_id;
+  // Epoch of the idempotency keys that it accepts now.
+  uint32_t key_epoch = 0;
+  MemberState state = MemberState::kUnknown;
+  // In the platform's list.
+  bool listed = false;
+  TimePoint last_heard;
+  // Send time of the latest own heartbeat that the member has answered while
+  // its replicated state equalled ours. What it knew then, we know.
+  TimePoint synced_at;
+  uint64_t incarnation_seen = 0;
+  // Its own latest heartbeat number, echoed back to it.
+  uint64_t beat_to_echo = 0;
+
+  bool usable() const { return state == MemberState::kAlive; }
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_MEMBERSHIP_MEMBER_H_
--- /dev/null
+++ b/src/membership/membership_module.h
@@ -0,0 +1,43 @@
+#ifndef REDWING_MEMBERSHIP_MEMBERSHIP_MODULE_H_
+#define REDWING_MEMBERSHIP_MEMBERSHIP_MODULE_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "membership/identity.h"
+#include "membership/membership.h"
+#include "framework/kernel/module.h"
+
+namespace redwing {
+
+class HeartbeatMembership;
+
+// Who this instance is and which others there are.
+class MembershipModule : public Module {
+ public:
+  MembershipModule(Identity identity,
+                   MembershipOptions options,
+                   std::vector<std::string> seeds)
+      : identity_(std::move(identity)),
+        options_(options),
+        seeds_(std::move(seeds)) {}
+  ~MembershipModule() override;
+
+  std::string_view Name() const override { return "membership"; }
+  void RegisterServices(Kernel& kernel) override;
+  void ResolveDependencies(Kernel& kernel) override;
+  void Start() override;
+  void BeginDrain() override;
+  void Stop() override;
+
+ private:
+  Identity identity_;
+  MembershipOptions options_;
+  std::vector<std::string> seeds_;
+  std::shared_ptr<HeartbeatMembership> membership_;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_MEMBERSHIP_MEMBERSHIP_MODULE_H_
--- /dev/null
+++ b/src/platform/internal/kubernetes_platform.cc
@@ -0,0 +1,318 @@
+#include "platform/internal/kubernetes_platform.h"
+
+#include <fmt/format.h>
+
+#include <array>
+#include <charconv>
+
+#include "framework/http/http_connection.h"
+#include "framework/http/url.h"
+#include "framework/metrics/metrics.h"
+#include "framework/settings/endpoint.h"
+
+namespace redwing {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kApiVersion = "redwingcart.io/v1";
+constexpr std::string_view kNamespacePath =
+    "/apis/redwingcart.io/v1/namespaces/default/";
+constexpr std::string_view kSlicesPath =
+    "/apis/discovery.k8s.io/v1/namespaces/default/endpointslices";
+constexpr size_t kMaxWatchLine = 4 * 1024 * 1024;  // bytes
+constexpr Milliseconds kWatchLength{30'000};
+constexpr Milliseconds kWatchGrace{5'000};
+
+std::string KindPath(const std::string& kind) {
+  return fmt::format("{}{}", kNamespacePath, PercentEncode(kind));
+}
+
+std::string ObjectPath(const std::string& kind, const std::string& name) {
+  return fmt::format("{}/{}", KindPath(kind), PercentEncode(name));
+}
+
+json ToJson(const StoredObject& object) {
+  json metadata = {{"name", object.name}};
+  if (!object.version.empty()) {
+    metadata["resourceVersion"] = object.version;
+  }
+  return {{"apiVersion", kApiVersion},
+          {"kind", object.kind},
+          {"metadata", std::move(metadata)},
+          {"spec", object.spec}};
+}
+
+// Throws json::exception when the object is not as published.
+StoredObject FromJson(const std::string& kind, const json& value) {
+  const json& metadata = value.at("metadata");
+  return {kind, metadata.at("name").get<std::string>(),
+          metadata.at("resourceVersion").get<std::string>(), value.at("spec")};
+}
+
+uint64_t VersionNumber(const std::string& text) {
+  uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+std::string PortOf(const json& slice, std::string_view name) {
+  for (const json& port : slice.at("ports")) {
+    if (port.at("name") == name) {
+      return std::to_string(port.at("port").get<int>());
+    }
+  }
+  return "0";
+}
+
+ListedInstance ListedFromSlice(const json& slice, const json& endpoint) {
+  const json& labels = slice.at("metadata").at("labels");
+  const std::string address = endpoint.at("addresses").at(0);
+  const json& conditions = endpoint.at("conditions");
+  ListedInstance instance;
+  instance.name = endpoint.at("hostname");
+  instance.service = labels.at("kubernetes.io/service-name");
+  instance.region = labels.value("topology.kubernetes.io/region", "");
+  instance.failure_domain = endpoint.value("zone", "");
+  instance.http_address = address + ":" + PortOf(slice, "http");
+  instance.peer_address = address + ":" + PortOf(slice, "peer");
+  instance.leaving = conditions.value("terminating", false) ||
+                     !conditions.value("serving", true);
+  return instance;
+}
+
+// The failure of an answer that does not follow the published API.
+Failure BadAnswer(const json::exception& exception) {
+  return MayHaveRun(Errc::kStoreUnavailable,
+                    fmt::format("unexpected answer: {}", exception.what()));
+}
+
+// Splits a watch stream into lines and hands on the objects.
+class WatchStream {
+ public:
+  WatchStream(const std::string& kind,
+              const std::function<void(const StoredObject&)>& on_object)
+      : kind_(kind), on_object_(on_object) {}
+
+  // Returns false when the stream ended with an error event.
+  bool Feed(std::string_view data) {
+    pending_.append(data);
+    size_t end = pending_.find('\n');
+    while (end != std::string::npos) {
+      if (!HandleLine(pending_.substr(0, end))) {
+        return false;
+      }
+      pending_.erase(0, end + 1);
+      end = pending_.find('\n');
+    }
+    return pending_.size() <= kMaxWatchLine;
+  }
+
+ private:
+  bool HandleLine(const std::string& line) {
+    const json event = json::parse(line, nullptr, /*allow_exceptions=*/false);
+    if (!event.is_object() || event.value("type", "") == "ERROR") {
+      return false;
+    }
+    const std::string type = event.value("type", "");
+    if (type == "ADDED" || type == "MODIFIED") {
+      on_object_(FromJson(kind_, event.at("object")));
+    }
+    return true;
+  }
+
+  const std::string& kind_;
+  const std::function<void(const StoredObject&)>& on_object_;
+  std::string pending_;
+};
+
+}  // namespace
+
+KubernetesPlatform::KubernetesPlatform(boost::asio::io_context& io,
+                                       SocketRegistry& sockets,
+                                       Metrics& metrics,
+                                       boost::asio::ip::tcp::endpoint endpoint,
+                                       Milliseconds timeout)
+    : io_(io),
+      sockets_(sockets),
+      metrics_(metrics),
+      client_(io, sockets),
+      endpoint_(std::move(endpoint)),
+      timeout_(timeout) {}
+
+Result<StoredObject> KubernetesPlatform::Get(const std::string& kind,
+                                             const std::string& name,
+                                             Yield yield) {
+  const Result<json> answer =
+      Call(http::verb::get, ObjectPath(kind, name), {}, yield);
+  if (!answer) {
+    return answer.error();
+  }
+  try {
+    return FromJson(kind, answer.value());
+  } catch (const json::exception& exception) {
+    return BadAnswer(exception);
+  }
+}
+
+Result<ObjectList> KubernetesPlatform::List(const std::string& kind,
+                                            Yield yield) {
+  const Result<json> answer =
+      Call(http::verb::get, KindPath(kind), {}, yield);
+  if (!answer) {
+    return answer.error();
+  }
+  try {
+    ObjectList list;
+    list.version = answer.value().at("metadata").at("resourceVersion");
+    for (const json& item : answer.value().at("items")) {
+      list.objects.push_back(FromJson(kind, item));
+    }
+    return list;
+  } catch (const json::exception& exception) {
+    return BadAnswer(exception);
+  }
+}
+
+Result<StoredObject> KubernetesPlatform::Create(const StoredObject& object,
+                                                Yield yield) {
+  const Result<json> answer = Call(http::verb::post, KindPath(object.kind),
+                                   ToJson(object), yield);
+  if (!answer) {
+    return answer.error();
+  }
+  try {
+    return FromJson(object.kind, answer.value());
+  } catch (const json::exception& exception) {
+    return BadAnswer(exception);
+  }
+}
+
+Result<StoredObject> KubernetesPlatform::Update(const StoredObject& object,
+                                                Yield yield) {
+  const Result<json> answer =
+      Call(http::verb::put, ObjectPath(object.kind, object.name),
+           ToJson(object), yield);
+  if (!answer) {
+    return answer.error();
+  }
+  try {
+    return FromJson(object.kind, answer.value());
+  } catch (const json::exception& exception) {
+    return BadAnswer(exception);
+  }
+}
+
+Failure KubernetesPlatform::Watch(
+    const std::string& kind,
+    const std::string& version,
+    const std::function<void(const StoredObject&)>& on_object,
+    Yield yield) {
+  HttpConnection connection(io_, sockets_);
+  const Result<void> connected =
+      connection.Connect(endpoint_, Clock::now() + timeout_, yield);
+  if (!connected) {
+    return connected.error();
+  }
+  metrics_.Get("redwing_store_calls_total", "Calls of the store, in calls",
+               {{"call", "watch"}})
+      .Add();
+  connection.ExpiresAt(Clock::now() + kWatchLength + kWatchGrace);
+  RequestHeader header;
+  header.version(11);
+  header.method(http::verb::get);
+  header.target(fmt::format("{}?watch=1&resourceVersion={}&timeoutSeconds={}",
+                            KindPath(kind), version,
+                            kWatchLength.count() / 1000));
+  header.set(http::field::host, FormatEndpoint(endpoint_));
+  const Result<void> sent =
+      connection.BeginRequest(std::move(header), nullptr, 0, true, yield);
+  const Result<void> answered = sent ? connection.ReadHeader(yield) : sent;
+  if (!answered) {
+    return answered.error();
+  }
+  if (connection.response().result_int() != 200) {
+    return NotRun(Errc::kStoreUnavailable, "the watch was refused");
+  }
+  WatchStream stream(kind, on_object);
+  std::array<char, 16 * 1024> piece{};
+  try {
+    while (true) {
+      const Result<size_t> size =
+          connection.ReadBody(piece.data(), piece.size(), yield);
+      if (!size) {
+        return size.error();
+      }
+      if (size.value() == 0) {
+        return NotRun(Errc::kOk, "the watch ended");
+      }
+      if (!stream.Feed({piece.data(), size.value()})) {
+        return NotRun(Errc::kStoreUnavailable, "the watch failed");
+      }
+    }
+  } catch (const json::exception& exception) {
+    return BadAnswer(exception);
+  }
+}
+
+Result<InstanceList> KubernetesPlatform::ListInstances(Yield yield) {
+  const Result<json> answer =
+      Call(http::verb::get, std::string(kSlicesPath), {}, yield);
+  if (!answer) {
+    return answer.error();
+  }
+  try {
+    InstanceList list;
+    list.version = VersionNumber(
+        answer.value().at("metadata").at("resourceVersion"));
+    for (const json& slice : answer.value().at("items")) {
+      for (const json& endpoint : slice.at("endpoints")) {
+        list.instances.push_back(ListedFromSlice(slice, endpoint));
+      }
+    }
+    return list;
+  } catch (const json::exception& exception) {
+    return BadAnswer(exception);
+  }
+}
+
+Result<json> KubernetesPlatform::Call(http::verb method,
+                                      const std::string& target,
+                                      const json& body,
+                                      Yield yield) {
+  HttpCall call;
+  call.endpoint = endpoint_;
+  call.method = method;
+  call.target = target;
+  call.body = body.is_null() ? "" : body.dump();
+  call.timeout = timeout_;
+  const std::string method_name(StdView(http::to_string(method)));
+  metrics_.Get("redwing_store_calls_total", "Calls of the store, in calls",
+               {{"call", method_name}})
+      .Add();
+  const Result<HttpReply> reply = client_.Call(call, yield);
+  if (!reply) {
+    return Failure{Errc::kStoreUnavailable, reply.error().verdict,
+                   reply.error().detail, {}};
+  }
+  const unsigned status = reply.value().status;
+  if (status == 404) {
+    return NotRun(Errc::kNotFound, target);
+  }
+  if (status == 409) {
+    return NotRun(Errc::kConflict, target);
+  }
+  if (status < 200 || status > 299) {
+    return MayHaveRun(Errc::kStoreUnavailable,
+                      fmt::format("store answered {}", status));
+  }
+  json value = json::parse(reply.value().body, nullptr,
+                           /*allow_exceptions=*/false);
+  if (value.is_discarded()) {
+    return MayHaveRun(Errc::kStoreUnavailable, "answer is not JSON");
+  }
+  return value;
+}
+
+}  // namespace redwing
--- /dev/null
+++ b/src/platform/internal/kubernetes_platform.h
@@ -0,0 +1,56 @@
+#ifndef REDWING_PLATFORM_INTERNAL_KUBERNETES_PLATFORM_H_
+#define REDWING_PLATFORM_INTERNAL_KUBERNETES_PLATFORM_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <string>
+
+#include "framework/http/http_client.h"
+#include "platform/instance_directory.h"
+#include "platform/object_store.h"
+
+namespace redwing {
+
+class Metrics;
+
+// Binding to the Kubernetes API conventions: custom resources of the group
+// redwingcart.io/v1 for objects, EndpointSlices for instances.
+class KubernetesPlatform : public ObjectStore, public InstanceDirectory {
+ public:
+  KubernetesPlatform(boost::asio::io_context& io,
+                     SocketRegistry& sockets,
+                     Metrics& metrics,
+                     boost::asio::ip::tcp::endpoint endpoint,
+                     Milliseconds timeout);
+
+  Result<StoredObject> Get(const std::string& kind,
+                           const std::string& name,
+                           Yield yield) override;
+  Result<ObjectList> List(const std::string& kind, Yield yield) override;
+  Result<StoredObject> Create(const StoredObject& object,
+                              Yield yield) override;
+  Result<StoredObject> Update(const StoredObject& object,
+                              Yield yield) override;
+  Failure Watch(const std::string& kind,
+                const std::string& version,
+                const std::function<void(const StoredObject&)>& on_object,
+                Yield yield) override;
+
+  Result<InstanceList> ListInstances(Yield yield) override;
+
+ private:
+  Result<nlohmann::json> Call(http::verb method,
+                              const std::string& target,
+                              const nlohmann::json& body,
+                              Yield yield);
+
+  boost::asio::io_context& io_;
+  SocketRegistry& sockets_;
+  Metrics& metrics_;
+  HttpClient client_;
+  boost::asio::ip::tcp::endpoint endpoint_;
+  Milliseconds timeout_;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_PLATFORM_INTERNAL_KUBERNETES_PLATFORM_H_
--- /dev/null
+++ b/src/platform/platform_module.h
@@ -0,0 +1,31 @@
+#ifndef REDWING_PLATFORM_PLATFORM_MODULE_H_
+#define REDWING_PLATFORM_PLATFORM_MODULE_H_
+
+#include <memory>
+#include <string>
+
+#include "framework/kernel/clock.h"
+#include "framework/kernel/module.h"
+
+namespace redwing {
+
+
+// The platform's object store and list of instances.
+class PlatformModule : public Module {
+ public:
+  PlatformModule(std::string address, Milliseconds timeout)
+      : address_(std::move(address)), timeout_(timeout) {}
+  ~PlatformModule() override;
+
+  std::string_view Name() const override { return "platform"; }
+  void RegisterServices(Kernel& kernel) override;
+  void ResolveDependencies(Kernel& kernel) override;
+
+ private:
+  std::string address_;
+  Milliseconds timeout_;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_PLATFORM_PLATFORM_MODULE_H_
--- /dev/null
+++ b/src/platform/stored_object.h
@@ -0,0 +1,20 @@
+#ifndef REDWING_PLATFORM_STORED_OBJECT_H_
+#define REDWING_PLATFORM_STORED_OBJECT_H_
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace redwing {
+
+// An object of the platform's store.
+struct StoredObject {
+  std::string kind;
+  std::string name;
+  // Opaque version for conditional updates.
+  std::string version;
+  nlohmann::json spec;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_PLATFORM_STORED_OBJECT_H_
--- /dev/null
+++ b/src/routing/internal/local_target_router.cc
@@ -0,0 +1,367 @@
+#include "routing/internal/local_target_router.h"
+
+#include <algorithm>
+#include <boost/asio/spawn.hpp>
+#include <nlohmann/json.hpp>
+
+#include "config/steering_config.h"
+#include "framework/log/log.h"
+#include "framework/metrics/metrics.h"
+#include "membership/identity.h"
+#include "membership/membership.h"
+
+namespace redwing {
+
+namespace {
+// Work of other instances ends without a word; look again this often.
+constexpr Milliseconds kWakeInterval{5};
+constexpr Milliseconds kHealthInterval{500};
+constexpr Milliseconds kHealthTimeout{400};
+constexpr double kFullLoad = 1000;
+}  // namespace
+
+LocalTargetRouter::LocalTargetRouter(boost::asio::io_context& io,
+                                     SocketRegistry& sockets,
+                                     Metrics& metrics,
+                                     std::shared_ptr<Identity> identity,
+                                     std::unique_ptr<TargetChoice> choice,
+                                     TargetRouterOptions options)
+    : io_(io),
+      metrics_(metrics),
+      client_(io, sockets),
+      identity_(std::move(identity)),
+      choice_(std::move(choice)),
+      options_(options),
+      random_(std::random_device{}()),
+      wake_(io, kWakeInterval, [this]() { ServeAllWaiters(); }),
+      health_(io, kHealthInterval, [this]() { PollHealth(); }) {}
+
+LocalTargetRouter::~LocalTargetRouter() = default;
+
+void LocalTargetRouter::Attach(std::shared_ptr<Membership> membership,
+                               std::shared_ptr<SteeringConfig> config) {
+  membership_ = std::move(membership);
+  config_ = std::move(config);
+  config_->on_change().Subscribe([this]() { ApplyConfig(); });
+  membership_->AddBeatSource([this](Heartbeat& heartbeat) {
+    for (const auto& [name, pool] : pools_) {
+      for (const StatePtr& state : pool.targets) {
+        if (state->outstanding() > 0) {
+          heartbeat.work.push_back(
+              {state->hash(), static_cast<uint16_t>(state->outstanding())});
+        }
+      }
+    }
+  });
+  membership_->on_heartbeat().Subscribe(
+      [this](const Member& member, const Heartbeat& heartbeat) {
+        ApplyPeerWork(member, heartbeat);
+      });
+}
+
+void LocalTargetRouter::Start() {
+  wake_.Start();
+  health_.Start();
+}
+
+void LocalTargetRouter::Stop() {
+  wake_.Stop();
+  health_.Stop();
+}
+
+Result<TargetLease> LocalTargetRouter::AcquireSlot(const SlotRequest& request,
+                                                   Yield yield) {
+  const auto found = pools_.find(request.service);
+  if (found == pools_.end() || !HasUsableTarget(request.service)) {
+    return NotRun(Errc::kNoTarget, "no target takes work",
+                  Milliseconds(1000));
+  }
+  Pool& pool = found->second;
+  const TimePoint now = Clock::now();
+  if (pool.queue.empty()) {
+    const StatePtr state = TryChoose(pool, request, now);
+    if (state) {
+      state->Begin();
+      return MakeLease(state);
+    }
+  }
+  const FairQueue::WaiterPtr waiter =
+      std::make_shared<SlotWaiter>(io_, request);
+  if (!pool.queue.Push(waiter)) {
+    return NotRun(Errc::kQueueFull, "too many requests wait",
+                  Milliseconds(1000));
+  }
+  waiter->timer.expires_at(
+      std::min<TimePoint>(request.deadline, now + options_.max_wait));
+  boost::system::error_code ignored;
+  waiter->timer.async_wait(yield[ignored]);
+  if (waiter->granted) {
+    return MakeLease(waiter->granted);
+  }
+  pool.queue.Remove(waiter);
+  metrics_
+      .Get("redwing_slot_wait_expired_total",
+           "Requests that got no slot in time, in requests")
+      .Add();
+  return Clock::now() >= request.deadline
+             ? NotRun(Errc::kDeadlinePassed, "no slot before the deadline")
+             : NotRun(Errc::kQueueFull, "no slot became free",
+                      Milliseconds(1000));
+}
+
+bool LocalTargetRouter::HasUsableTarget(std::string_view service) const {
+  const auto pool = pools_.find(service);
+  const TimePoint now = Clock::now();
+  return pool != pools_.end() &&
+         std::any_of(
+             pool->second.targets.begin(), pool->second.targets.end(),
+             [now](const StatePtr& state) { return state->Usable(now); });
+}
+
+uint16_t LocalTargetRouter::LoadPermille() const {
+  int slots = 0;
+  int work = 0;
+  const TimePoint now = Clock::now();
+  for (const auto& [name, pool] : pools_) {
+    for (const StatePtr& state : pool.targets) {
+      slots += state->Usable(now) ? state->target().slots : 0;
+      work += state->KnownWork(now);
+    }
+    work += static_cast<int>(pool.queue.size());
+  }
+  if (slots == 0) {
+    return 0;
+  }
+  return static_cast<uint16_t>(
+      std::min(kFullLoad, kFullLoad * work / slots));
+}
+
+std::vector<std::string> LocalTargetRouter::RegionsOf(
+    std::string_view service) const {
+  std::set<std::string> regions;
+  const std::shared_ptr<const SteeringDocument> document = config_->document();
+  const Service* const found = document->FindService(service);
+  if (found != nullptr) {
+    for (const Target& target : found->targets) {
+      if (!IsClosed(target)) {
+        regions.insert(target.region);
+      }
+    }
+  }
+  return {regions.begin(), regions.end()};
+}
+
+std::vector<TargetStatus> LocalTargetRouter::Status() const {
+  std::vector<TargetStatus> list;
+  const TimePoint now = Clock::now();
+  for (const auto& [name, pool] : pools_) {
+    for (const StatePtr& state : pool.targets) {
+      list.push_back({state->target().name, name, state->target().slots,
+                      state->outstanding(), state->closed(),
+                      state->Ejected(now), state->latency_ms()});
+    }
+  }
+  return list;
+}
+
+void LocalTargetRouter::ApplyConfig() {
+  const std::shared_ptr<const SteeringDocument> document = config_->document();
+  const TimePoint now = Clock::now();
+  for (auto& [name, pool] : pools_) {
+    for (const StatePtr& state : pool.targets) {
+      state->SetClosed(true);
+    }
+  }
+  for (const auto& [name, service] : document->services()) {
+    Pool& pool = pools_.try_emplace(name, options_.queue_per_workspace)
+                     .first->second;
+    for (const Target& target : service.targets) {
+      if (target.region != identity_->region) {
+        continue;
+      }
+      const auto known = std::find_if(
+          pool.targets.begin(), pool.targets.end(),
+          [&target](const StatePtr& state) {
+            return state->target().name == target.name &&
+                   state->target().address == target.address;
+          });
+      StatePtr state;
+      if (known == pool.targets.end()) {
+        state = std::make_shared<TargetState>(target, now);
+        pool.targets.push_back(state);
+      } else {
+        state = *known;
+        state->SetTarget(target);
+      }
+      state->SetClosed(IsClosed(target));
+    }
+    pool.targets.erase(
+        std::remove_if(pool.targets.begin(), pool.targets.end(),
+                       [&service = service](const StatePtr& state) {
+                         return std::none_of(
+                             service.targets.begin(), service.targets.end(),
+                             [&state](const Target& target) {
+                               return target.name == state->target().name &&
+                                      target.address ==
+                                          state->target().address;
+                             });
+                       }),
+        pool.targets.end());
+  }
+}
+
+bool LocalTargetRouter::IsClosed(const Target& target) const {
+  const Drains& drains = config_->drains();
+  if (drains.targets.count(target.name) > 0 ||
+      drains.failure_domains.count(target.failure_domain) > 0 ||
+      drains.regions.count(target.region) > 0) {
+    return true;
+  }
+  const std::vector<ListedInstance>& listed = config_->listing().instances;
+  return std::any_of(listed.begin(), listed.end(),
+                     [&target](const ListedInstance& instance) {
+                       return instance.leaving &&
+                              instance.name == target.name;
+                     });
+}
+
+void LocalTargetRouter::ApplyPeerWork(const Member& member,
+                                      const Heartbeat& heartbeat) {
+  if (member.region != identity_->region) {
+    return;
+  }
+  const TimePoint now = Clock::now();
+  for (auto& [name, pool] : pools_) {
+    for (const StatePtr& state : pool.targets) {
+      const auto work = std::find_if(
+          heartbeat.work.begin(), heartbeat.work.end(),
+          [&state](const TargetWork& w) {
+            return w.target_hash == state->hash();
+          });
+      state->SetPeerWork(
+          member.name, work == heartbeat.work.end() ? 0 : work->outstanding,
+          now);
+    }
+  }
+}
+
+std::shared_ptr<TargetState> LocalTargetRouter::TryChoose(
+    Pool& pool,
+    const SlotRequest& request,
+    TimePoint now) {
+  std::vector<TargetState*> preferred;
+  std::vector<TargetState*> others;
+  for (const StatePtr& state : pool.targets) {
+    if (!state->Available(now) ||
+        request.exclude.count(state->target().name) > 0) {
+      continue;
+    }
+    const bool avoid =
+        state->target().failure_domain == request.avoid_failure_domain;
+    (avoid ? others : preferred).push_back(state.get());
+  }
+  const std::vector<TargetState*>& candidates =
+      preferred.empty() ? others : preferred;
+  if (candidates.empty()) {
+    return nullptr;
+  }
+  const TargetState* const chosen = choice_->Choose(candidates, now, random_);
+  return *std::find_if(
+      pool.targets.begin(), pool.targets.end(),
+      [chosen](const StatePtr& state) { return state.get() == chosen; });
+}
+
+TargetLease LocalTargetRouter::MakeLease(const StatePtr& state) {
+  return {state, [this](const StatePtr& ended, AttemptOutcome outcome,
+                        Milliseconds latency) {
+            for (const auto& [name, pool] : pools_) {
+              if (std::find(pool.targets.begin(), pool.targets.end(), ended) !=
+                  pool.targets.end()) {
+                EndAttempt(name, ended, outcome, latency);
+                return;
+              }
+            }
+            ended->End(outcome, latency, Clock::now());
+          }};
+}
+
+void LocalTargetRouter::EndAttempt(const std::string& service,
+                                   const StatePtr& state,
+                                   AttemptOutcome outcome,
+                                   Milliseconds latency) {
+  const TimePoint now = Clock::now();
+  state->End(outcome, latency, now);
+  Pool& pool = pools_.find(service)->second;
+  if (outcome == AttemptOutcome::kFailed && state->WantsEjection()) {
+    MaybeEject(pool, state, now);
+  }
+  ServeWaiters(pool, now);
+}
+
+void LocalTargetRouter::MaybeEject(Pool& pool,
+                                   const StatePtr& state,
+                                   TimePoint now) {
+  const auto ejected = std::count_if(
+      pool.targets.begin(), pool.targets.end(),
+      [now](const StatePtr& s) { return s->Ejected(now); });
+  const double allowed =
+      options_.max_ejected_part * static_cast<double>(pool.targets.size());
+  if (static_cast<double>(ejected + 1) > allowed) {
+    return;
+  }
+  state->Eject(now);
+  spdlog::warn("target {} is ejected", state->target().name);
+  metrics_.Get("redwing_target_ejections_total", "Ejections of targets",
+               {{"target", state->target().name}})
+      .Add();
+}
+
+void LocalTargetRouter::ServeWaiters(Pool& pool, TimePoint now) {
+  while (!pool.queue.empty()) {
+    const FairQueue::WaiterPtr waiter = pool.queue.Front();
+    const StatePtr state = TryChoose(pool, waiter->request, now);
+    if (!state) {
+      return;
+    }
+    pool.queue.PopFront();
+    state->Begin();
+    waiter->granted = state;
+    waiter->timer.cancel();
+  }
+}
+
+void LocalTargetRouter::ServeAllWaiters() {
+  const TimePoint now = Clock::now();
+  for (auto& [name, pool] : pools_) {
+    ServeWaiters(pool, now);
+  }
+}
+
+void LocalTargetRouter::PollHealth() {
+  for (const auto& [name, pool] : pools_) {
+    for (const StatePtr& state : pool.targets) {
+      boost::asio::spawn(io_, [this, state](const Yield& yield) {
+        PollTarget(state, yield);
+      });
+    }
+  }
+}
+
+void LocalTargetRouter::PollTarget(const StatePtr& state, Yield yield) {
+  HttpCall call;
+  call.endpoint = state->endpoint();
+  call.target = "/healthz";
+  call.timeout = kHealthTimeout;
+  const Result<HttpReply> reply = client_.Call(call, yield);
+  if (!reply) {
+    // Health answers can be late or wrong; only what they say of leaving is
+    // believed. Failures of requests decide on ejection.
+    return;
+  }
+  const nlohmann::json body = nlohmann::json::parse(
+      reply.value().body, nullptr, /*allow_exceptions=*/false);
+  state->SetLeaving(body.is_object() &&
+                    body.value("status", "") == "leaving");
+}
+
+}  // namespace redwing
--- /dev/null
+++ b/src/routing/internal/local_target_router.h
@@ -0,0 +1,98 @@
+#ifndef REDWING_ROUTING_INTERNAL_LOCAL_TARGET_ROUTER_H_
+#define REDWING_ROUTING_INTERNAL_LOCAL_TARGET_ROUTER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "framework/http/http_client.h"
+#include "framework/kernel/periodic_task.h"
+#include "routing/fair_queue.h"
+#include "routing/target_choice.h"
+#include "routing/target_router.h"
+
+namespace redwing {
+
+class Membership;
+class Metrics;
+class SteeringConfig;
+struct Heartbeat;
+struct Identity;
+struct Member;
+
+struct TargetRouterOptions {
+  size_t queue_per_workspace = 256;
+  Milliseconds max_wait{2000};
+  // Ejected targets never exceed this part of a service's local targets.
+  double max_ejected_part = 0.5;
+};
+
+// TargetRouter over the targets that the steering document places in the own
+// region.
+class LocalTargetRouter : public TargetRouter {
+ public:
+  LocalTargetRouter(boost::asio::io_context& io,
+                    SocketRegistry& sockets,
+                    Metrics& metrics,
+                    std::shared_ptr<Identity> identity,
+                    std::unique_ptr<TargetChoice> choice,
+                    TargetRouterOptions options);
+  ~LocalTargetRouter() override;
+
+  void Attach(std::shared_ptr<Membership> membership,
+              std::shared_ptr<SteeringConfig> config);
+  void Start();
+  void Stop();
+
+  Result<TargetLease> AcquireSlot(const SlotRequest& request,
+                                  Yield yield) override;
+  bool HasUsableTarget(std::string_view service) const override;
+  uint16_t LoadPermille() const override;
+  std::vector<std::string> RegionsOf(std::string_view service) const override;
+  std::vector<TargetStatus> Status() const override;
+
+ private:
+  using StatePtr = std::shared_ptr<TargetState>;
+  struct Pool {
+    explicit Pool(size_t queue_limit) : queue(queue_limit) {}
+    std::vector<StatePtr> targets;
+    FairQueue queue;
+  };
+  using PoolMap = std::map<std::string, Pool, std::less<>>;
+
+  void ApplyConfig();
+  bool IsClosed(const Target& target) const;
+  void ApplyPeerWork(const Member& member, const Heartbeat& heartbeat);
+  StatePtr TryChoose(Pool& pool, const SlotRequest& request, TimePoint now);
+  TargetLease MakeLease(const StatePtr& state);
+  void EndAttempt(const std::string& service,
+                  const StatePtr& state,
+                  AttemptOutcome outcome,
+                  Milliseconds latency);
+  void MaybeEject(Pool& pool, const StatePtr& state, TimePoint now);
+  // Gives free slots to waiting requests.
+  void ServeWaiters(Pool& pool, TimePoint now);
+  void ServeAllWaiters();
+  void PollHealth();
+  void PollTarget(const StatePtr& state, Yield yield);
+
+  boost::asio::io_context& io_;
+  Metrics& metrics_;
+  HttpClient client_;
+  std::shared_ptr<Identity> identity_;
+  std::unique_ptr<TargetChoice> choice_;
+  TargetRouterOptions options_;
+  std::shared_ptr<Membership> membership_;
+  std::shared_ptr<SteeringConfig> config_;
+  PoolMap pools_;
+  std::mt19937_64 random_;
+  PeriodicTask wake_;
+  PeriodicTask health_;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_ROUTING_INTERNAL_LOCAL_TARGET_ROUTER_H_
--- /dev/null
+++ b/src/routing/internal/target_state.cc
@@ -0,0 +1,96 @@
+#include "routing/target_state.h"
+
+#include <algorithm>
+
+#include "framework/settings/endpoint.h"
+#include "framework/wire/digest.h"
+
+namespace redwing {
+
+namespace {
+constexpr int kFailuresToEject = 3;
+constexpr Milliseconds kFirstEjection{1000};
+constexpr int kMaxEjectionDoublings = 4;
+constexpr Milliseconds kShedTime{100};
+constexpr Milliseconds kPeerWorkAge{500};
+constexpr double kLatencySmoothing = 0.1;
+}  // namespace
+
+TargetState::TargetState(const Target& target, TimePoint now)
+    : target_(target),
+      endpoint_(TcpEndpoint(target.address)),
+      hash_(static_cast<uint32_t>(Hash64(target.name))),
+      started_at_(now) {}
+
+int TargetState::KnownWork(TimePoint now) const {
+  int work = outstanding_;
+  for (const auto& [peer, report] : peer_work_) {
+    if (now - report.at < kPeerWorkAge) {
+      work += report.work;
+    }
+  }
+  return work;
+}
+
+void TargetState::SetPeerWork(const std::string& peer,
+                              int work,
+                              TimePoint now) {
+  if (work == 0) {
+    peer_work_.erase(peer);
+  } else {
+    peer_work_[peer] = {work, now};
+  }
+}
+
+int TargetState::Limit(TimePoint now) const {
+  const bool probing = ejections_ > 0 && failures_in_row_ > 0;
+  if (probing || now < shed_until_) {
+    return 1;
+  }
+  return target_.slots;
+}
+
+bool TargetState::Available(TimePoint now) const {
+  return Usable(now) && KnownWork(now) < Limit(now);
+}
+
+bool TargetState::Usable(TimePoint now) const {
+  return !closed_ && !leaving_ && !Ejected(now);
+}
+
+void TargetState::End(AttemptOutcome outcome,
+                      Milliseconds latency,
+                      TimePoint now) {
+  --outstanding_;
+  switch (outcome) {
+    case AttemptOutcome::kAnswered: {
+      failures_in_row_ = 0;
+      ejections_ = 0;
+      const double sample = static_cast<double>(latency.count());
+      latency_ms_ += (sample - latency_ms_) * kLatencySmoothing;
+      break;
+    }
+    case AttemptOutcome::kFailed:
+      ++failures_in_row_;
+      break;
+    case AttemptOutcome::kShed:
+      shed_until_ = now + kShedTime;
+      break;
+    case AttemptOutcome::kCancelled:
+      break;
+  }
+}
+
+bool TargetState::WantsEjection() const {
+  return failures_in_row_ >= kFailuresToEject;
+}
+
+void TargetState::Eject(TimePoint now) {
+  const int doublings = std::min(ejections_, kMaxEjectionDoublings);
+  ejected_until_ = now + kFirstEjection * (1 << doublings);
+  ++ejections_;
+  // One more failure after the pause ejects again.
+  failures_in_row_ = kFailuresToEject - 1;
+}
+
+}  // namespace redwing
--- /dev/null
+++ b/src/routing/internal/weighted_lookup.cc
@@ -0,0 +1,186 @@
+#include "routing/internal/weighted_lookup.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+#include "config/steering_config.h"
+#include "membership/identity.h"
+#include "membership/membership.h"
+#include "routing/key_prefix.h"
+
+namespace redwing {
+
+namespace {
+constexpr Milliseconds kRefreshInterval{200};
+constexpr double kFullLoad = 1000;
+constexpr double kSmallestWeight = 0.05;
+constexpr double kLargestStep = 0.1;
+// Differences below this do not move a weight.
+constexpr double kHysteresis = 0.05;
+}  // namespace
+
+WeightedLookup::WeightedLookup(boost::asio::io_context& io,
+                               std::shared_ptr<Identity> identity,
+                               Milliseconds ttl)
+    : identity_(std::move(identity)),
+      ttl_(ttl),
+      load_([]() { return uint16_t{0}; }),
+      epoch_([]() { return uint32_t{0}; }),
+      random_(std::random_device{}()),
+      refresh_(io, kRefreshInterval, [this]() { Refresh(); }) {}
+
+void WeightedLookup::Attach(std::shared_ptr<Membership> membership,
+                            std::shared_ptr<SteeringConfig> config) {
+  membership_ = std::move(membership);
+  config_ = std::move(config);
+  membership_->AddBeatSource(
+      [this](Heartbeat& heartbeat) {
+        heartbeat.load_permille = load_();
+        heartbeat.key_epoch = epoch_();
+      });
+  membership_->on_heartbeat().Subscribe(
+      [this](const Member& member, const Heartbeat& heartbeat) {
+        peer_loads_[member.name] = heartbeat.load_permille;
+      });
+  membership_->on_change().Subscribe(
+      [this](const Member& /*member*/) { Refresh(); });
+  config_->on_change().Subscribe([this]() { Refresh(); });
+}
+
+void WeightedLookup::SetLoadSource(std::function<uint16_t()> load) {
+  load_ = std::move(load);
+}
+
+void WeightedLookup::Start() {
+  Refresh();
+  refresh_.Start();
+}
+
+void WeightedLookup::Stop() {
+  refresh_.Stop();
+}
+
+Result<std::string> WeightedLookup::LookUp(std::string_view service,
+                                           std::string_view region) {
+  const std::string_view from = region.empty() ? identity_->region : region;
+  auto by_region = answers_.find(service);
+  if (by_region == answers_.end()) {
+    if (config_->document()->FindService(service) == nullptr) {
+      return NotRun(Errc::kUnknownService,
+                    fmt::format("service \"{}\" does not exist", service));
+    }
+    by_region = answers_.try_emplace(std::string(service)).first;
+  }
+  auto answers = by_region->second.find(from);
+  if (answers == by_region->second.end()) {
+    if (config_->document()->FindRegion(from) == nullptr) {
+      return NotRun(Errc::kMalformedRequest,
+                    fmt::format("region \"{}\" does not exist", from));
+    }
+    answers = by_region->second.try_emplace(std::string(from)).first;
+  }
+  Answers& rendered = answers->second;
+  if (rendered.variants.size() < kVariants) {
+    rendered.variants.push_back(Render(service, Order(candidates_, from)));
+    return rendered.variants.back();
+  }
+  rendered.next = (rendered.next + 1) % kVariants;
+  return rendered.variants[rendered.next];
+}
+
+void WeightedLookup::SetEpochSource(std::function<uint32_t()> epoch) {
+  epoch_ = std::move(epoch);
+}
+
+void WeightedLookup::Refresh() {
+  candidates_ = Candidates();
+  answers_.clear();
+}
+
+double WeightedLookup::MoveWeight(const std::string& instance,
+                                  uint16_t load_permille) {
+  const double headroom =
+      std::max(kSmallestWeight, 1 - load_permille / kFullLoad);
+  double& weight = weights_.emplace(instance, headroom).first->second;
+  if (std::abs(headroom - weight) > kHysteresis) {
+    weight += std::clamp(headroom - weight, -kLargestStep, kLargestStep);
+  }
+  return weight;
+}
+
+std::vector<WeightedLookup::Candidate> WeightedLookup::Candidates() {
+  const Drains& drains = config_->drains();
+  std::vector<Candidate> candidates;
+  const auto drained = [&drains](const std::string& instance,
+                                 const std::string& region,
+                                 const std::string& failure_domain) {
+    return drains.instances.count(instance) > 0 ||
+           drains.regions.count(region) > 0 ||
+           drains.failure_domains.count(failure_domain) > 0;
+  };
+  if (!membership_->leaving() &&
+      !drained(identity_->name, identity_->region,
+               identity_->failure_domain)) {
+    candidates.push_back({identity_->name, identity_->region,
+                          identity_->http_address,
+                          KeyPrefix(identity_->process_id, epoch_()),
+                          MoveWeight(identity_->name, load_())});
+  }
+  for (const auto& [name, member] : membership_->members()) {
+    if (member.usable() &&
+        !drained(name, member.region, member.failure_domain)) {
+      candidates.push_back({name, member.region, member.http_address,
+                            KeyPrefix(member.process_id, member.key_epoch),
+                            MoveWeight(name, peer_loads_[name])});
+    }
+  }
+  return candidates;
+}
+
+std::vector<WeightedLookup::Candidate> WeightedLookup::Order(
+    const std::vector<Candidate>& candidates,
+    std::string_view region) {
+  struct Drawn {
+    const Candidate* candidate;
+    bool local;
+    double key;
+  };
+  std::uniform_real_distribution<double> uniform(1e-9, 1);
+  std::vector<Drawn> drawn;
+  drawn.reserve(candidates.size());
+  for (const Candidate& candidate : candidates) {
+    // Weighted random order. Efraimidis and Spirakis 2006.
+    drawn.push_back({&candidate, candidate.region == region,
+                     std::pow(uniform(random_), 1 / candidate.weight)});
+  }
+  std::sort(drawn.begin(), drawn.end(), [](const Drawn& a, const Drawn& b) {
+    return a.local != b.local ? a.local : a.key > b.key;
+  });
+  std::vector<Candidate> ordered;
+  ordered.reserve(drawn.size());
+  for (const Drawn& item : drawn) {
+    ordered.push_back(*item.candidate);
+  }
+  return ordered;
+}
+
+std::string WeightedLookup::Render(
+    std::string_view service,
+    const std::vector<Candidate>& ordered) const {
+  nlohmann::json entries = nlohmann::json::array();
+  for (const Candidate& candidate : ordered) {
+    entries.push_back({{"instance", candidate.instance},
+                       {"region", candidate.region},
+                       {"address", candidate.address},
+                       {"idempotency_prefix", candidate.key_prefix}});
+  }
+  return nlohmann::json({{"service", service},
+                         {"ttl_ms", ttl_.count()},
+                         {"entries", std::move(entries)}})
+      .dump();
+}
+
+}  // namespace redwing
--- /dev/null
+++ b/src/routing/routing_module.h
@@ -0,0 +1,37 @@
+#ifndef REDWING_ROUTING_ROUTING_MODULE_H_
+#define REDWING_ROUTING_ROUTING_MODULE_H_
+
+#include <memory>
+#include <string>
+
+#include "framework/kernel/clock.h"
+#include "framework/kernel/module.h"
+
+namespace redwing {
+
+class LocalTargetRouter;
+class WeightedLookup;
+
+// Where callers and requests go: look-ups and targets.
+class RoutingModule : public Module {
+ public:
+  RoutingModule(std::string target_choice, Milliseconds lookup_ttl)
+      : target_choice_(std::move(target_choice)), lookup_ttl_(lookup_ttl) {}
+  ~RoutingModule() override;
+
+  std::string_view Name() const override { return "routing"; }
+  void RegisterServices(Kernel& kernel) override;
+  void ResolveDependencies(Kernel& kernel) override;
+  void Start() override;
+  void Stop() override;
+
+ private:
+  std::string target_choice_;
+  Milliseconds lookup_ttl_;
+  std::shared_ptr<WeightedLookup> lookup_;
+  std::shared_ptr<LocalTargetRouter> router_;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_ROUTING_ROUTING_MODULE_H_
--- /dev/null
+++ b/src/routing/slot_request.h
@@ -0,0 +1,25 @@
+#ifndef REDWING_ROUTING_SLOT_REQUEST_H_
+#define REDWING_ROUTING_SLOT_REQUEST_H_
+
+#include <set>
+#include <string>
+
+#include "framework/kernel/clock.h"
+
+namespace redwing {
+
+// What a request needs of a target.
+struct SlotRequest {
+  std::string service;
+  std::string workspace;
+  double weight = 1;
+  TimePoint deadline;
+  // Targets that were tried already.
+  std::set<std::string> exclude;
+  // Failure domain that is chosen only when no other is left.
+  std::string avoid_failure_domain;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_ROUTING_SLOT_REQUEST_H_
--- /dev/null
+++ b/src/routing/slot_waiter.h
@@ -0,0 +1,26 @@
+#ifndef REDWING_ROUTING_SLOT_WAITER_H_
+#define REDWING_ROUTING_SLOT_WAITER_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+
+#include "routing/slot_request.h"
+
+namespace redwing {
+
+class TargetState;
+
+// A request that waits for a slot.
+struct SlotWaiter {
+  SlotWaiter(boost::asio::io_context& io, const SlotRequest& wanted)
+      : timer(io), request(wanted) {}
+
+  boost::asio::steady_timer timer;
+  SlotRequest request;
+  // The target whose slot was given to the waiter.
+  std::shared_ptr<TargetState> granted;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_ROUTING_SLOT_WAITER_H_
--- /dev/null
+++ b/src/routing/target_choice.h
@@ -0,0 +1,32 @@
+#ifndef REDWING_ROUTING_TARGET_CHOICE_H_
+#define REDWING_ROUTING_TARGET_CHOICE_H_
+
+#include <memory>
+#include <random>
+#include <string_view>
+#include <vector>
+
+#include "framework/kernel/clock.h"
+
+namespace redwing {
+
+class TargetState;
+
+// Chooses among available targets.
+class TargetChoice {
+ public:
+  virtual ~TargetChoice() = default;
+
+  // Returns one of the candidates, which are not empty.
+  virtual TargetState* Choose(const std::vector<TargetState*>& candidates,
+                              TimePoint now,
+                              std::mt19937_64& random) const = 0;
+};
+
+// Makes the choice with the given name: "random", "least_outstanding",
+// "power_of_two". Returns null for another name.
+std::unique_ptr<TargetChoice> MakeTargetChoice(std::string_view name);
+
+}  // namespace redwing
+
+#endif  // REDWING_ROUTING_TARGET_CHOICE_H_
--- /dev/null
+++ b/src/routing/target_state.h
@@ -0,0 +1,79 @@
+#ifndef REDWING_ROUTING_TARGET_STATE_H_
+#define REDWING_ROUTING_TARGET_STATE_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "framework/kernel/clock.h"
+#include "steering/target.h"
+
+namespace redwing {
+
+// How an attempt at a target ended, as far as its choice is concerned.
+enum class AttemptOutcome { kAnswered, kFailed, kShed, kCancelled };
+
+// A target as seen from this instance.
+class TargetState {
+ public:
+  TargetState(const Target& target, TimePoint now);
+
+  const Target& target() const { return target_; }
+  const boost::asio::ip::tcp::endpoint& endpoint() const { return endpoint_; }
+  uint32_t hash() const { return hash_; }
+  void SetTarget(const Target& target) { target_ = target; }
+
+  // No new work: it leaves, an operator drained it, or it was removed.
+  void SetClosed(bool closed) { closed_ = closed; }
+  bool closed() const { return closed_; }
+  // The target's own health answer says that it leaves.
+  void SetLeaving(bool leaving) { leaving_ = leaving; }
+
+  // Requests in work here and, as last heard, at other instances.
+  int outstanding() const { return outstanding_; }
+  int KnownWork(TimePoint now) const;
+  void SetPeerWork(const std::string& peer, int work, TimePoint now);
+
+  // Slots that may be in use now; fewer during a slow start.
+  int Limit(TimePoint now) const;
+  // Returns whether the target may be given a request.
+  bool Available(TimePoint now) const;
+  bool Ejected(TimePoint now) const { return now < ejected_until_; }
+  bool Usable(TimePoint now) const;
+
+  void Begin() { ++outstanding_; }
+  // Counts a failure while the target is not to be ejected just now: the
+  // ejection is up to the caller.
+  void End(AttemptOutcome outcome, Milliseconds latency, TimePoint now);
+  // Returns whether the failures in a row call for an ejection.
+  bool WantsEjection() const;
+  void Eject(TimePoint now);
+  // Smoothed latency, milliseconds.
+  double latency_ms() const { return latency_ms_; }
+
+ private:
+  struct PeerWork {
+    int work;
+    TimePoint at;
+  };
+
+  Target target_;
+  boost::asio::ip::tcp::endpoint endpoint_;
+  uint32_t hash_;
+  bool closed_ = false;
+  bool leaving_ = false;
+  int outstanding_ = 0;
+  int failures_in_row_ = 0;
+  int ejections_ = 0;
+  int answered_since_start_ = 0;
+  TimePoint started_at_;
+  TimePoint ejected_until_;
+  TimePoint shed_until_;
+  double latency_ms_ = 0;
+  std::map<std::string, PeerWork> peer_work_;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_ROUTING_TARGET_STATE_H_
--- /dev/null
+++ b/src/steering/internal/steering_document.cc
@@ -0,0 +1,199 @@
+#include "steering/steering_document.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+
+namespace redwing {
+
+namespace {
+
+template <typename T>
+const T* FindIn(const std::map<std::string, T, std::less<>>& map,
+                std::string_view name) {
+  const auto item = map.find(name);
+  return item == map.end() ? nullptr : &item->second;
+}
+
+// Collects the problems of one document.
+class DocumentChecker {
+ public:
+  explicit DocumentChecker(const std::vector<Section>& sections)
+      : sections_(sections), document_(sections) {}
+
+  std::vector<std::string> Check() {
+    for (const Section& section : sections_) {
+      section_ = section.name;
+      CheckRegions(section);
+      CheckLinks(section);
+      CheckServices(section);
+      CheckWorkspaces(section);
+    }
+    return std::move(problems_);
+  }
+
+ private:
+  void Add(std::string_view what, std::string_view name,
+           std::string_view problem) {
+    problems_.push_back(fmt::format("section \"{}\": {} \"{}\": {}", section_,
+                                    what, name, problem));
+  }
+
+  void CheckUnique(std::set<std::string>* seen,
+                   std::string_view what,
+                   const std::string& name) {
+    if (!seen->insert(name).second) {
+      Add(what, name, "is defined twice");
+    }
+  }
+
+  void CheckRegions(const Section& section) {
+    for (const Region& region : section.regions) {
+      CheckUnique(&regions_, "region", region.name);
+    }
+  }
+
+  void CheckLinks(const Section& section) {
+    for (const Link& link : section.links) {
+      const std::string name = fmt::format("{}>{}", link.from, link.to);
+      CheckUnique(&links_, "link", name);
+      for (const std::string& end : {link.from, link.to}) {
+        if (document_.FindRegion(end) == nullptr) {
+          Add("link", name, fmt::format("region \"{}\" does not exist", end));
+        }
+      }
+      if (link.from == link.to) {
+        Add("link", name, "leads to its own region");
+      }
+    }
+  }
+
+  void CheckServices(const Section& section) {
+    for (const Service& service : section.services) {
+      CheckUnique(&services_, "service", service.name);
+      if (service.targets.empty()) {
+        Add("service", service.name, "has no targets");
+      }
+      if (service.routes.empty()) {
+        Add("service", service.name, "has no routes");
+      }
+      std::set<std::string> routes;
+      for (const Route& route : service.routes) {
+        CheckUnique(&routes, "route", route.name);
+      }
+      for (const Target& target : service.targets) {
+        CheckTarget(target);
+      }
+    }
+  }
+
+  void CheckTarget(const Target& target) {
+    CheckUnique(&targets_, "target", target.name);
+    const Region* const region = document_.FindRegion(target.region);
+    if (region == nullptr) {
+      Add("target", target.name,
+          fmt::format("region \"{}\" does not exist", target.region));
+      return;
+    }
+    const bool known =
+        std::find(region->failure_domains.begin(),
+                  region->failure_domains.end(),
+                  target.failure_domain) != region->failure_domains.end();
+    if (!known) {
+      Add("target", target.name,
+          fmt::format("failure domain \"{}\" is not in region \"{}\"",
+                      target.failure_domain, target.region));
+    }
+  }
+
+  void CheckWorkspaces(const Section& section) {
+    for (const Workspace& workspace : section.workspaces) {
+      CheckUnique(&workspaces_, "workspace", workspace.name);
+      for (const std::string& entry : workspace.may_call) {
+        CheckCall(workspace, entry);
+      }
+    }
+  }
+
+  void CheckCall(const Workspace& workspace, const std::string& entry) {
+    const size_t slash = entry.find('/');
+    const Service* const service =
+        document_.FindService(entry.substr(0, slash));
+    if (service == nullptr) {
+      Add("workspace", workspace.name,
+          fmt::format("may call \"{}\", which does not exist", entry));
+      return;
+    }
+    if (slash == std::string::npos) {
+      return;
+    }
+    const std::string route = entry.substr(slash + 1);
+    const bool known =
+        std::any_of(service->routes.begin(), service->routes.end(),
+                    [&route](const Route& r) { return r.name == route; });
+    if (!known) {
+      Add("workspace", workspace.name,
+          fmt::format("may call \"{}\", which does not exist", entry));
+    }
+  }
+
+  const std::vector<Section>& sections_;
+  SteeringDocument document_;
+  std::string section_;
+  std::set<std::string> regions_;
+  std::set<std::string> links_;
+  std::set<std::string> services_;
+  std::set<std::string> targets_;
+  std::set<std::string> workspaces_;
+  std::vector<std::string> problems_;
+};
+
+}  // namespace
+
+SteeringDocument::SteeringDocument(const std::vector<Section>& sections) {
+  for (const Section& section : sections) {
+    for (const Region& region : section.regions) {
+      regions_.emplace(region.name, region);
+    }
+    for (const Link& link : section.links) {
+      if (FindLink(link.from, link.to) == nullptr) {
+        links_.push_back(link);
+      }
+    }
+    for (const Service& service : section.services) {
+      services_.emplace(service.name, service);
+    }
+    for (const Workspace& workspace : section.workspaces) {
+      workspaces_.emplace(workspace.name, workspace);
+    }
+  }
+}
+
+const Region* SteeringDocument::FindRegion(std::string_view name) const {
+  return FindIn(regions_, name);
+}
+
+const Link* SteeringDocument::FindLink(std::string_view from,
+                                       std::string_view to) const {
+  const auto link =
+      std::find_if(links_.begin(), links_.end(), [&](const Link& l) {
+        return l.from == from && l.to == to;
+      });
+  return link == links_.end() ? nullptr : &*link;
+}
+
+const Service* SteeringDocument::FindService(std::string_view name) const {
+  return FindIn(services_, name);
+}
+
+const Workspace* SteeringDocument::FindWorkspace(std::string_view name) const {
+  return FindIn(workspaces_, name);
+}
+
+std::vector<std::string> FindDocumentProblems(
+    const std::vector<Section>& sections) {
+  return DocumentChecker(sections).Check();
+}
+
+}  // namespace redwing
--- /dev/null
+++ b/src/steering/service.h
@@ -0,0 +1,28 @@
+#ifndef REDWING_STEERING_SERVICE_H_
+#define REDWING_STEERING_SERVICE_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "steering/route.h"
+#include "steering/target.h"
+
+namespace redwing {
+
+// A named group of targets and the routes that lead to it.
+struct Service {
+  std::string name;
+  std::vector<Target> targets;
+  std::vector<Route> routes;
+
+  // Returns the route with the longest matching path prefix; null when no
+  // route matches. `path_known` tells whether some route has the path.
+  const Route* FindRoute(std::string_view method,
+                         std::string_view path,
+                         bool* path_known) const;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_STEERING_SERVICE_H_
--- /dev/null
+++ b/testing/fault_proxy/fault_proxy.cc
@@ -0,0 +1,146 @@
+#include "testing/fault_proxy/fault_proxy.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "framework/http/url.h"
+#include "framework/settings/endpoint.h"
+#include "testing/common.h"
+#include "testing/fault_proxy/links.h"
+#include "testing/stand_in_main.h"
+
+namespace redwing::testing {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr Milliseconds kTenth{100};
+
+template <typename T>
+void ReadField(const json& body, const char* name, T* field) {
+  if (body.contains(name)) {
+    body.at(name).get_to(*field);
+  }
+}
+
+void ReadField(const json& body, const char* name, Milliseconds* field) {
+  if (body.contains(name)) {
+    *field = Milliseconds(body.at(name).get<int64_t>());
+  }
+}
+
+}  // namespace
+
+FaultProxy::FaultProxy(Kernel& kernel, ObjectReader& settings)
+    : kernel_(kernel),
+      sockets_(kernel.io()),
+      server_(kernel.io(), sockets_, metrics_, *this, HttpServerLimits()),
+      listen_(settings.Endpoint("listen")),
+      random_(
+          static_cast<uint64_t>(settings.Integer("seed", 0, INT64_MAX, 1))),
+      started_(Clock::now()) {}
+
+FaultProxy::~FaultProxy() = default;
+
+void FaultProxy::Listen() {
+  server_.Listen(TcpEndpoint(listen_));
+  Announce({{"http", FormatEndpoint(server_.local_endpoint())}});
+}
+
+void FaultProxy::Handle(HttpExchange& exchange, Yield yield) {
+  const std::string_view target = exchange.target();
+  if (target == "/_control/meters") {
+    SendJson(exchange, 200, Meters(), yield);
+    return;
+  }
+  const json body = ReadControl(exchange, yield);
+  if (target == "/_control/link" && body.is_object()) {
+    SendJson(exchange, 200, AddLink(body), yield);
+  } else if (target == "/_control/rules" && body.is_array()) {
+    for (const json& item : body) {
+      SetRules(item);
+    }
+    SendJson(exchange, 200, json::object(), yield);
+  } else {
+    SendJson(exchange, 400, {{"error", "unknown control call"}}, yield);
+  }
+}
+
+const FaultRule& FaultProxy::Rule(int from, int to) const {
+  static const FaultRule none;
+  const auto rule = rules_.find({from, to});
+  return rule == rules_.end() ? none : rule->second;
+}
+
+TimePoint FaultProxy::LineTime(int from, int to, size_t size) {
+  const TimePoint now = Clock::now();
+  const double rate = Rule(from, to).bytes_per_s;
+  if (rate <= 0) {
+    return now;
+  }
+  TimePoint& free = line_free_[{from, to}];
+  free = std::max(free, now) +
+         std::chrono::duration_cast<Clock::duration>(
+             std::chrono::duration<double>(static_cast<double>(size) / rate));
+  return free;
+}
+
+void FaultProxy::CountBytes(int from, int to, size_t size) {
+  Meter& meter = meters_[{from, to}];
+  meter.bytes += size;
+  const size_t tenth = static_cast<size_t>((Clock::now() - started_) / kTenth);
+  if (meter.tenths.size() <= tenth) {
+    meter.tenths.resize(tenth + 1);
+  }
+  meter.tenths[tenth] += size;
+}
+
+bool FaultProxy::Draw(double probability) {
+  return probability > 0 &&
+         std::bernoulli_distribution(probability)(random_);
+}
+
+json FaultProxy::AddLink(const json& body) {
+  const std::string listen = body.value("listen", "127.0.0.1:0");
+  const std::string to = body.value("to", "");
+  if (body.value("protocol", "tcp") == "udp") {
+    udp_links_.push_back(std::make_unique<UdpLink>(*this, UdpEndpoint(listen),
+                                                   UdpEndpoint(to)));
+    const boost::asio::ip::udp::endpoint at =
+        udp_links_.back()->local_endpoint();
+    return {{"listen", fmt::format("{}:{}", at.address().to_string(),
+                                   at.port())}};
+  }
+  tcp_links_.push_back(std::make_unique<TcpLink>(*this, TcpEndpoint(listen),
+                                                 TcpEndpoint(to)));
+  return {{"listen", FormatEndpoint(tcp_links_.back()->local_endpoint())}};
+}
+
+void FaultProxy::SetRules(const json& body) {
+  FaultRule& rule = rules_[{body.at("from"), body.at("to")}];
+  ReadField(body, "delay_ms", &rule.delay);
+  ReadField(body, "loss", &rule.loss);
+  ReadField(body, "duplicate", &rule.duplicate);
+  ReadField(body, "reorder", &rule.reorder);
+  ReadField(body, "reorder_delay_ms", &rule.reorder_delay);
+  ReadField(body, "cut", &rule.cut);
+  ReadField(body, "hold", &rule.hold);
+  ReadField(body, "bytes_per_s", &rule.bytes_per_s);
+  ReadField(body, "reset_after", &rule.reset_after);
+  ReadField(body, "cross", &rule.cross);
+}
+
+json FaultProxy::Meters() const {
+  json meters = json::array();
+  for (const auto& [pair, meter] : meters_) {
+    meters.push_back({{"from", pair.first},
+                      {"to", pair.second},
+                      {"bytes", meter.bytes},
+                      {"tenths", meter.tenths}});
+  }
+  return meters;
+}
+
+}  // namespace redwing::testing
--- /dev/null
+++ b/testing/fault_proxy/links.cc
@@ -0,0 +1,295 @@
+#include "testing/fault_proxy/links.h"
+
+#include <algorithm>
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/write.hpp>
+#include <deque>
+
+#include "framework/kernel/sleep.h"
+
+namespace redwing::testing {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::asio::ip::udp;
+
+constexpr size_t kPiece = 16 * 1024;  // bytes
+constexpr Milliseconds kPoll{2};
+constexpr Milliseconds kCrossWait{200};
+
+// Both sockets of a forwarded connection.
+struct Connection {
+  explicit Connection(boost::asio::io_context& io) : near(io), far(io) {}
+  tcp::socket near;
+  tcp::socket far;
+
+  void Close() {
+    boost::system::error_code ignored;
+    near.close(ignored);
+    far.close(ignored);
+  }
+  // Closes with a reset, so that the peer sees an error.
+  void Reset() {
+    boost::system::error_code ignored;
+    for (tcp::socket* const socket : {&near, &far}) {
+      socket->set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    }
+    Close();
+  }
+};
+using ConnectionPtr = std::shared_ptr<Connection>;
+
+// A piece of one connection that waits to be swapped with another's.
+struct CrossedPiece {
+  std::string* bytes = nullptr;
+};
+CrossedPiece g_waiting_piece;
+
+// Waits for another connection's piece and swaps the two.
+void Cross(FaultProxy& proxy, std::string* bytes, Yield yield) {
+  if (g_waiting_piece.bytes != nullptr) {
+    std::swap(*g_waiting_piece.bytes, *bytes);
+    g_waiting_piece.bytes = nullptr;
+    return;
+  }
+  g_waiting_piece.bytes = bytes;
+  const TimePoint end = Clock::now() + kCrossWait;
+  while (g_waiting_piece.bytes == bytes && Clock::now() < end) {
+    SleepFor(proxy.kernel().io(), kPoll, yield);
+  }
+  if (g_waiting_piece.bytes == bytes) {
+    g_waiting_piece.bytes = nullptr;
+  }
+}
+
+// Copies one direction of a connection. Reading goes on while earlier pieces
+// are delayed, so a delay does not lower the throughput.
+class Pump : public std::enable_shared_from_this<Pump> {
+ public:
+  Pump(FaultProxy& proxy,
+       ConnectionPtr connection,
+       tcp::socket& source,
+       tcp::socket& sink,
+       int from,
+       int to)
+      : proxy_(proxy),
+        connection_(std::move(connection)),
+        source_(source),
+        sink_(sink),
+        from_(from),
+        to_(to) {}
+
+  void Start() {
+    const std::shared_ptr<Pump> self = shared_from_this();
+    boost::asio::spawn(proxy_.kernel().io(),
+                       [self](const Yield& yield) { self->Read(yield); });
+    boost::asio::spawn(proxy_.kernel().io(),
+                       [self](const Yield& yield) { self->Write(yield); });
+  }
+
+ private:
+  struct Piece {
+    TimePoint at;
+    std::string bytes;
+  };
+  static constexpr size_t kMaxQueued = 512;
+
+  void Read(Yield yield) {
+    std::string buffer(kPiece, '\0');
+    while (true) {
+      boost::system::error_code ec;
+      const size_t size =
+          source_.async_read_some(boost::asio::buffer(buffer), yield[ec]);
+      if (ec) {
+        ended_ = true;
+        return;
+      }
+      while (queue_.size() >= kMaxQueued && sink_.is_open()) {
+        SleepFor(proxy_.kernel().io(), kPoll, yield);
+      }
+      const TimePoint at = proxy_.LineTime(from_, to_, size) +
+                           proxy_.Rule(from_, to_).delay;
+      queue_.push_back({at, buffer.substr(0, size)});
+    }
+  }
+
+  void Write(Yield yield) {
+    while (true) {
+      if (queue_.empty()) {
+        if (ended_) {
+          break;
+        }
+        SleepFor(proxy_.kernel().io(), Milliseconds(1), yield);
+        continue;
+      }
+      Piece piece = std::move(queue_.front());
+      queue_.pop_front();
+      const TimePoint now = Clock::now();
+      if (piece.at > now) {
+        SleepFor(proxy_.kernel().io(), piece.at - now, yield);
+      }
+      while ((proxy_.Rule(from_, to_).cut || proxy_.Rule(from_, to_).hold) &&
+             sink_.is_open()) {
+        SleepFor(proxy_.kernel().io(), kPoll, yield);
+      }
+      if (proxy_.Rule(from_, to_).cross) {
+        Cross(proxy_, &piece.bytes, yield);
+      }
+      if (!Deliver(piece.bytes, yield)) {
+        return;
+      }
+    }
+    boost::system::error_code ignored;
+    sink_.shutdown(tcp::socket::shutdown_send, ignored);
+  }
+
+  bool Deliver(std::string bytes, Yield yield) {
+    const uint64_t limit = proxy_.Rule(from_, to_).reset_after;
+    const bool resets = limit > 0 && delivered_ + bytes.size() >= limit;
+    if (resets) {
+      bytes.resize(limit > delivered_ ? limit - delivered_ : 0);
+    }
+    boost::system::error_code ec;
+    boost::asio::async_write(sink_, boost::asio::buffer(bytes), yield[ec]);
+    proxy_.CountBytes(from_, to_, bytes.size());
+    delivered_ += bytes.size();
+    if (ec || resets) {
+      if (resets) {
+        // Lets what was sent arrive before the reset.
+        SleepFor(proxy_.kernel().io(), kPoll, yield);
+      }
+      connection_->Reset();
+      return false;
+    }
+    return true;
+  }
+
+  FaultProxy& proxy_;
+  ConnectionPtr connection_;
+  tcp::socket& source_;
+  tcp::socket& sink_;
+  int from_;
+  int to_;
+  std::deque<Piece> queue_;
+  uint64_t delivered_ = 0;
+  bool ended_ = false;
+};
+
+}  // namespace
+
+int RegionOf(const boost::asio::ip::address& address) {
+  if (!address.is_v4()) {
+    return 0;
+  }
+  const boost::asio::ip::address_v4::bytes_type bytes =
+      address.to_v4().to_bytes();
+  return bytes[0] == 127 && bytes[1] == 0 ? bytes[2] : 0;
+}
+
+TcpLink::TcpLink(FaultProxy& proxy,
+                 const tcp::endpoint& listen,
+                 tcp::endpoint to)
+    : proxy_(proxy), acceptor_(proxy.kernel().io()), to_(std::move(to)) {
+  acceptor_.open(listen.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(listen);
+  acceptor_.listen();
+  Accept();
+}
+
+void TcpLink::Accept() {
+  const ConnectionPtr connection =
+      std::make_shared<Connection>(proxy_.kernel().io());
+  acceptor_.async_accept(
+      connection->near,
+      [this, connection](const boost::system::error_code& ec) {
+        if (ec) {
+          return;
+        }
+        boost::asio::spawn(
+            proxy_.kernel().io(), [this, connection](const Yield& yield) {
+              boost::system::error_code remote_ec;
+              const int from = RegionOf(
+                  connection->near.remote_endpoint(remote_ec).address());
+              const int to = RegionOf(to_.address());
+              // The handshake takes a round trip and fails while cut.
+              SleepFor(proxy_.kernel().io(), 2 * proxy_.Rule(from, to).delay,
+                       yield);
+              while (proxy_.Rule(from, to).cut) {
+                SleepFor(proxy_.kernel().io(), kPoll, yield);
+              }
+              boost::system::error_code connect_ec;
+              connection->far.async_connect(to_, yield[connect_ec]);
+              if (connect_ec) {
+                connection->Reset();
+                return;
+              }
+              boost::system::error_code ignored;
+              connection->near.set_option(tcp::no_delay(true), ignored);
+              connection->far.set_option(tcp::no_delay(true), ignored);
+              std::make_shared<Pump>(proxy_, connection, connection->near,
+                                     connection->far, from, to)
+                  ->Start();
+              std::make_shared<Pump>(proxy_, connection, connection->far,
+                                     connection->near, to, from)
+                  ->Start();
+            });
+        Accept();
+      });
+}
+
+UdpLink::UdpLink(FaultProxy& proxy,
+                 const udp::endpoint& listen,
+                 udp::endpoint to)
+    : proxy_(proxy),
+      socket_(proxy.kernel().io(), listen),
+      to_(std::move(to)) {
+  socket_.non_blocking(true);
+  Receive();
+}
+
+void UdpLink::Receive() {
+  socket_.async_receive_from(
+      boost::asio::buffer(buffer_), from_,
+      [this](const boost::system::error_code& ec, size_t size) {
+        if (!socket_.is_open()) {
+          return;
+        }
+        if (!ec) {
+          Forward(std::string(buffer_.data(), size),
+                  RegionOf(from_.address()));
+        }
+        Receive();
+      });
+}
+
+void UdpLink::Forward(const std::string& bytes, int from) {
+  const int to = RegionOf(to_.address());
+  const FaultRule& rule = proxy_.Rule(from, to);
+  if (rule.cut || proxy_.Draw(rule.loss)) {
+    return;
+  }
+  TimePoint at = Clock::now() + rule.delay;
+  if (proxy_.Draw(rule.reorder)) {
+    at += rule.reorder_delay;
+  }
+  SendLater(bytes, at);
+  if (proxy_.Draw(rule.duplicate)) {
+    SendLater(bytes, at + rule.reorder_delay);
+  }
+}
+
+void UdpLink::SendLater(const std::string& bytes, TimePoint at) {
+  auto timer =
+      std::make_shared<boost::asio::steady_timer>(proxy_.kernel().io(), at);
+  timer->async_wait(
+      [this, timer, bytes](const boost::system::error_code& ec) {
+        if (!ec) {
+          boost::system::error_code ignored;
+          socket_.send_to(boost::asio::buffer(bytes), to_, 0, ignored);
+        }
+      });
+}
+
+}  // namespace redwing::testing
