--- /dev/null
+++ b/src/admin/internal/admin_handler.cc
@@ -0,0 +1,601 @@
+#include "admin/internal/admin_handler.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "admin/internal/edit_checks.h"
+#include "config/drains.h"
+#include "config/key_shard.h"
+#include "config/state_entry.h"
+#include "framework/http/http_exchange.h"
+#include "framework/http/refusal.h"
+#include "framework/metrics/metrics.h"
+#include "keys/api_key.h"
+#include "steering/section_parser.h"
+#include "steering/steering_document.h"
+
+namespace redwing {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kApiPrefix = "/v1/";
+constexpr std::string_view kAny = "*";
+constexpr std::string_view kDrainSection = "drains";
+constexpr std::string_view kKeySection = "keys";
+constexpr size_t kMaxBody = 1024 * 1024;  // bytes
+constexpr std::string_view kBearer = "Bearer ";
+
+std::vector<std::string> Split(std::string_view path) {
+  std::vector<std::string> segments;
+  while (!path.empty()) {
+    const size_t slash = path.find('/');
+    segments.emplace_back(path.substr(0, slash));
+    path = slash == std::string_view::npos ? "" : path.substr(slash + 1);
+  }
+  return segments;
+}
+
+std::string SectionEntry(const std::string& name) {
+  return std::string(kSectionPrefix) + name;
+}
+
+std::string Joined(const std::vector<std::string>& lines) {
+  std::string text;
+  for (const std::string& line : lines) {
+    text += (text.empty() ? "" : "\n") + line;
+  }
+  return text;
+}
+
+Failure Forbidden(const Operator& caller, std::string_view section) {
+  return NotRun(Errc::kForbidden,
+                fmt::format("operator \"{}\" may not edit \"{}\"", caller.name,
+                            section));
+}
+
+json RecordsJson(const std::vector<AuditRecord>& records) {
+  json items = json::array();
+  for (const AuditRecord& record : records) {
+    items.push_back(record.ToJson());
+  }
+  return items;
+}
+
+}  // namespace
+
+AdminHandler::AdminHandler(Metrics& metrics,
+                           StateEditor editor,
+                           OperatorDirectory operators,
+                           FleetView fleet)
+    : metrics_(metrics),
+      editor_(std::move(editor)),
+      operators_(std::move(operators)),
+      fleet_(std::move(fleet)) {}
+
+void AdminHandler::Handle(HttpExchange& exchange, Yield yield) {
+  const std::optional<Url> url = ParseTarget(exchange.target());
+  if (!url) {
+    SendRefusal(exchange,
+                NotRun(Errc::kMalformedRequest, "malformed request target"),
+                yield);
+    return;
+  }
+  if (HandlePlain(exchange, *url, yield)) {
+    return;
+  }
+  const Answer answer = Dispatch(exchange, *url, yield);
+  metrics_
+      .Get("redwing_admin_calls_total", "Calls of operators, in calls",
+           {{"outcome", answer ? "ok" : ErrcName(answer.error().errc)}})
+      .Add();
+  if (answer) {
+    exchange.Respond(200, "application/json", answer.value().dump(), yield);
+  } else {
+    SendRefusal(exchange, answer.error(), yield);
+  }
+}
+
+const std::vector<AdminHandler::Route>& AdminHandler::Routes() {
+  static const std::vector<Route> routes = {
+      {"GET", {"sections"}, &AdminHandler::ListSections},
+      {"GET", {"sections", kAny}, &AdminHandler::GetSection},
+      {"PUT", {"sections", kAny}, &AdminHandler::PutSection},
+      {"POST", {"sections", kAny, "validate"}, &AdminHandler::ValidateSection},
+      {"GET", {"sections", kAny, "history"}, &AdminHandler::SectionHistory},
+      {"POST", {"sections", kAny, "rollback"}, &AdminHandler::RollBack},
+      {"POST", {"keys"}, &AdminHandler::IssueKey},
+      {"DELETE", {"keys", kAny}, &AdminHandler::WithdrawKey},
+      {"GET", {"drains"}, &AdminHandler::GetDrains},
+      {"POST", {"drains"}, &AdminHandler::ChangeDrains},
+      {"GET", {"status"}, &AdminHandler::FleetStatus},
+      {"GET", {"audit"}, &AdminHandler::Audit},
+      {"GET", {"audit", "verify"}, &AdminHandler::VerifyAudit},
+  };
+  return routes;
+}
+
+bool AdminHandler::HandlePlain(HttpExchange& exchange,
+                               const Url& url,
+                               Yield yield) {
+  if (url.path == "/healthz" || url.path == "/readyz") {
+    exchange.Respond(200, "application/json", R"({"status":"ok"})", yield);
+    return true;
+  }
+  if (url.path == "/metrics") {
+    exchange.Respond(200, "text/plain; version=0.0.4",
+                     metrics_.PrometheusText(), yield);
+    return true;
+  }
+  return false;
+}
+
+AdminHandler::Answer AdminHandler::Dispatch(HttpExchange& exchange,
+                                            const Url& url,
+                                            Yield yield) {
+  if (url.path.compare(0, kApiPrefix.size(), kApiPrefix) != 0) {
+    return NotRun(Errc::kUnknownRoute, "no such path");
+  }
+  Call call{url, std::string(exchange.method()),
+            Split(std::string_view(url.path).substr(kApiPrefix.size())),
+            {}, {}};
+  const auto matches = [&call](const Route& route) {
+    return std::equal(route.pattern.begin(), route.pattern.end(),
+                      call.segments.begin(), call.segments.end(),
+                      [](std::string_view pattern, std::string_view segment) {
+                        return pattern == kAny || pattern == segment;
+                      });
+  };
+  const Route* found = nullptr;
+  bool path_known = false;
+  for (const Route& route : Routes()) {
+    if (!matches(route)) {
+      continue;
+    }
+    path_known = true;
+    if (route.method == call.method && found == nullptr) {
+      found = &route;
+    }
+  }
+  if (found == nullptr) {
+    return path_known ? NotRun(Errc::kMethodNotAllowed, "method not allowed")
+                      : NotRun(Errc::kUnknownRoute, "no such path");
+  }
+  const std::string_view authorization = exchange.Header("Authorization");
+  const std::string_view key =
+      authorization.substr(0, kBearer.size()) == kBearer
+          ? authorization.substr(kBearer.size())
+          : "";
+  Result<Operator> caller = operators_.Authenticate(key, yield);
+  if (!caller) {
+    return caller.error();
+  }
+  call.caller = std::move(caller.value());
+  const Result<std::string> text = exchange.ReadWholeBody(kMaxBody, yield);
+  if (!text) {
+    return text.error();
+  }
+  if (!text.value().empty()) {
+    Result<JsonSource> source = JsonSource::Parse(text.value(), "body");
+    if (!source) {
+      return NotRun(Errc::kMalformedRequest, source.error().detail);
+    }
+    call.body = source.value().root();
+    if (!call.body.is_object()) {
+      return NotRun(Errc::kMalformedRequest, "the body is not an object");
+    }
+  }
+  try {
+    return (this->*found->handler)(call, yield);
+  } catch (const json::exception& exception) {
+    return NotRun(Errc::kMalformedRequest, exception.what());
+  }
+}
+
+AdminHandler::Answer AdminHandler::ListSections(const Call& /*call*/,
+                                                Yield yield) {
+  const Result<std::vector<std::string>> names = editor_.EntryNames(yield);
+  if (!names) {
+    return names.error();
+  }
+  json sections = json::array();
+  for (const std::string& name : names.value()) {
+    if (name.compare(0, kSectionPrefix.size(), kSectionPrefix) != 0) {
+      continue;
+    }
+    const Result<StateView> view = editor_.Read(name, yield);
+    if (!view) {
+      return view.error();
+    }
+    sections.push_back({{"name", name.substr(kSectionPrefix.size())},
+                        {"revision", view.value().revision},
+                        {"team", view.value().body.value("team", "")}});
+  }
+  return json{{"sections", std::move(sections)}};
+}
+
+AdminHandler::Answer AdminHandler::GetSection(const Call& call, Yield yield) {
+  const Result<StateView> view =
+      editor_.Read(SectionEntry(call.segments[1]), yield);
+  if (!view) {
+    return view.error();
+  }
+  if (view.value().revision == 0) {
+    return NotRun(Errc::kNotFound,
+                  fmt::format("section \"{}\" does not exist",
+                              call.segments[1]));
+  }
+  return json{{"name", call.segments[1]},
+              {"revision", view.value().revision},
+              {"body", view.value().body}};
+}
+
+AdminHandler::Answer AdminHandler::PutSection(const Call& call, Yield yield) {
+  if (!call.body.contains("body") || !call.body.contains("from_revision")) {
+    return NotRun(Errc::kMalformedRequest,
+                  "expected \"body\" and \"from_revision\"");
+  }
+  return ApplySection(call, call.segments[1], call.body.at("body"), "apply",
+                      yield);
+}
+
+AdminHandler::Answer AdminHandler::ValidateSection(const Call& call,
+                                                   Yield yield) {
+  if (!call.body.contains("body")) {
+    return NotRun(Errc::kMalformedRequest, "expected \"body\"");
+  }
+  const Result<std::vector<Section>> sections =
+      SectionsWith(call.segments[1], call.body.at("body"), yield);
+  if (!sections) {
+    return sections.error();
+  }
+  const Result<void> checked =
+      CheckDocument(sections.value(), nullptr, false, yield);
+  if (!checked) {
+    return checked.error();
+  }
+  return json{{"valid", true}};
+}
+
+AdminHandler::Answer AdminHandler::SectionHistory(const Call& call,
+                                                  Yield yield) {
+  const Result<std::vector<AuditRecord>> records =
+      editor_.History(SectionEntry(call.segments[1]), yield);
+  if (!records) {
+    return records.error();
+  }
+  return json{{"records", RecordsJson(records.value())}};
+}
+
+AdminHandler::Answer AdminHandler::RollBack(const Call& call, Yield yield) {
+  const uint64_t to = call.body.at("to_revision");
+  const Result<std::vector<AuditRecord>> records =
+      editor_.History(SectionEntry(call.segments[1]), yield);
+  if (!records) {
+    return records.error();
+  }
+  const auto record = std::find_if(
+      records.value().begin(), records.value().end(),
+      [to](const AuditRecord& r) { return r.to_revision == to; });
+  if (record == records.value().end()) {
+    return NotRun(Errc::kNotFound,
+                  fmt::format("revision {} does not exist", to));
+  }
+  const Result<json> body = editor_.BodyOf(*record, yield);
+  if (!body) {
+    return body.error();
+  }
+  return ApplySection(call, call.segments[1], body.value(),
+                      fmt::format("roll back to revision {}", to), yield);
+}
+
+AdminHandler::Answer AdminHandler::IssueKey(const Call& call, Yield yield) {
+  if (!call.caller.MayEdit(kKeySection)) {
+    return Forbidden(call.caller, kKeySection);
+  }
+  KeyRecord record;
+  record.workspace = call.body.value("workspace", "");
+  record.operator_name = call.body.value("operator", "");
+  record.sections =
+      call.body.value("sections", std::vector<std::string>());
+  if (record.workspace.empty() == record.operator_name.empty()) {
+    return NotRun(Errc::kMalformedRequest,
+                  "expected either \"workspace\" or \"operator\"");
+  }
+  // Nobody can give away more than it may do itself.
+  for (const std::string& section : record.sections) {
+    if (!call.caller.MayEdit(section)) {
+      return Forbidden(call.caller, section);
+    }
+  }
+  const ApiKey key = ApiKey::Generate();
+  key.Seal(&record);
+  StateEdit edit;
+  edit.entry = KeyShardName(key.id);
+  edit.who = call.caller.name;
+  edit.action = fmt::format("issue key {} for {}", key.id,
+                            record.workspace.empty() ? record.operator_name
+                                                     : record.workspace);
+  edit.change = [&record](const json& current) -> Result<json> {
+    std::vector<KeyRecord> records = KeyRecordsFromJson(current);
+    records.push_back(record);
+    return KeyRecordsToJson(records);
+  };
+  const Result<StateEditResult> result = editor_.Apply(edit, yield);
+  if (!result) {
+    return result.error();
+  }
+  return json{{"key", key.Text()}, {"key_id", key.id}};
+}
+
+AdminHandler::Answer AdminHandler::WithdrawKey(const Call& call, Yield yield) {
+  if (!call.caller.MayEdit(kKeySection)) {
+    return Forbidden(call.caller, kKeySection);
+  }
+  return fleet_.Withdraw(call.segments[1], call.caller.name, yield);
+}
+
+AdminHandler::Answer AdminHandler::GetDrains(const Call& /*call*/,
+                                             Yield yield) {
+  const Result<StateView> view =
+      editor_.Read(std::string(kDrainsName), yield);
+  if (!view) {
+    return view.error();
+  }
+  return json{{"revision", view.value().revision},
+              {"body", Drains::Parse(view.value().body.dump()).ToJson()}};
+}
+
+AdminHandler::Answer AdminHandler::ChangeDrains(const Call& call,
+                                                Yield yield) {
+  if (!call.caller.MayEdit(kDrainSection)) {
+    return Forbidden(call.caller, kDrainSection);
+  }
+  const std::string kind = call.body.at("kind");
+  const std::string name = call.body.at("name");
+  const bool drained = call.body.at("drained");
+  const bool forced = call.body.value("force", false);
+  const json known = Drains().ToJson();
+  if (!known.contains(kind)) {
+    return NotRun(Errc::kMalformedRequest,
+                  "\"kind\" is one of targets, failure_domains, regions, "
+                  "instances");
+  }
+  const Result<std::vector<Section>> sections =
+      SectionsWith("", json(), yield);
+  if (!sections) {
+    return sections.error();
+  }
+  StateEdit edit;
+  edit.entry = kDrainsName;
+  edit.who = call.caller.name;
+  edit.action = fmt::format("{} {} {}", drained ? "drain" : "undrain", kind,
+                            name);
+  edit.forced = forced;
+  edit.change = [&](const json& current) -> Result<json> {
+    json body = Drains::Parse(current.dump()).ToJson();
+    std::set<std::string> names = body.at(kind);
+    if (drained) {
+      names.insert(name);
+    } else {
+      names.erase(name);
+    }
+    body[kind] = names;
+    const std::vector<std::string> stranded = FindStrandedServices(
+        sections.value(), Drains::Parse(body.dump()));
+    if (drained && !forced && !stranded.empty()) {
+      return NotRun(Errc::kInvalidDocument, Joined(stranded));
+    }
+    return body;
+  };
+  const Result<StateEditResult> result = editor_.Apply(edit, yield);
+  if (!result) {
+    return result.error();
+  }
+  return json{{"revision", result.value().revision},
+              {"change_id", result.value().change_id}};
+}
+
+AdminHandler::Answer AdminHandler::FleetStatus(const Call& /*call*/,
+                                               Yield yield) {
+  const Result<json> status = fleet_.Status(yield);
+  if (!status) {
+    return status.error();
+  }
+  return json{{"instances", status.value()}};
+}
+
+AdminHandler::Answer AdminHandler::Audit(const Call& call, Yield yield) {
+  Result<std::vector<AuditRecord>> records = AllRecords(yield);
+  if (!records) {
+    return records.error();
+  }
+  const std::optional<std::string> entry = call.url.Query("entry");
+  const std::optional<std::string> who = call.url.Query("who");
+  std::vector<AuditRecord> chosen;
+  for (AuditRecord& record : records.value()) {
+    if ((!entry || record.entry == *entry) && (!who || record.who == *who)) {
+      chosen.push_back(std::move(record));
+    }
+  }
+  std::stable_sort(chosen.begin(), chosen.end(),
+                   [](const AuditRecord& a, const AuditRecord& b) {
+                     return a.at_ms < b.at_ms;
+                   });
+  return json{{"records", RecordsJson(chosen)}};
+}
+
+AdminHandler::Answer AdminHandler::VerifyAudit(const Call& /*call*/,
+                                               Yield yield) {
+  const Result<std::vector<std::string>> names = editor_.EntryNames(yield);
+  if (!names) {
+    return names.error();
+  }
+  json problems = json::array();
+  size_t count = 0;
+  for (const std::string& name : names.value()) {
+    const Result<std::vector<AuditRecord>> records =
+        editor_.History(name, yield);
+    if (!records) {
+      // Objects that are not edited by operators carry no records.
+      continue;
+    }
+    count += records.value().size();
+    for (const std::string& problem : FindAuditProblems(records.value())) {
+      problems.push_back(problem);
+    }
+  }
+  return json{{"records", count}, {"problems", std::move(problems)}};
+}
+
+AdminHandler::Answer AdminHandler::ApplySection(const Call& call,
+                                                const std::string& name,
+                                                const json& body,
+                                                const std::string& action,
+                                                Yield yield) {
+  if (!call.caller.MayEdit(name)) {
+    return Forbidden(call.caller, name);
+  }
+  const bool forced = call.body.value("force", false);
+  const uint64_t from_revision = call.body.at("from_revision");
+  const Result<Section> changed = ParseSection(name, body.dump());
+  if (!changed) {
+    return changed.error();
+  }
+  StateEdit edit;
+  edit.entry = SectionEntry(name);
+  edit.who = call.caller.name;
+  edit.action = action;
+  edit.from_revision = from_revision;
+  edit.forced = forced;
+  edit.change = [&](const json& /*current*/) -> Result<json> {
+    const Result<std::vector<Section>> sections =
+        SectionsWith(name, body, yield);
+    if (!sections) {
+      return sections.error();
+    }
+    const Result<void> checked = CheckDocument(
+        sections.value(), &changed.value(), forced, yield);
+    if (!checked) {
+      return checked.error();
+    }
+    return body;
+  };
+  const Result<StateEditResult> result = editor_.Apply(edit, yield);
+  if (!result) {
+    return result.error().errc == Errc::kConflict
+               ? DescribeConflict(result.error(), edit.entry, from_revision,
+                                  yield)
+               : result.error();
+  }
+  return json{{"revision", result.value().revision},
+              {"change_id", result.value().change_id}};
+}
+
+Result<std::vector<Section>> AdminHandler::SectionsWith(
+    const std::string& name,
+    const json& body,
+    Yield yield) {
+  const Result<std::vector<std::string>> names = editor_.EntryNames(yield);
+  if (!names) {
+    return names.error();
+  }
+  std::vector<Section> sections;
+  for (const std::string& entry : names.value()) {
+    if (entry.compare(0, kSectionPrefix.size(), kSectionPrefix) != 0 ||
+        entry == SectionEntry(name)) {
+      continue;
+    }
+    const Result<StateView> view = editor_.Read(entry, yield);
+    if (!view) {
+      return view.error();
+    }
+    Result<Section> section = ParseSection(
+        entry.substr(kSectionPrefix.size()), view.value().body.dump());
+    if (!section) {
+      return section.error();
+    }
+    sections.push_back(std::move(section.value()));
+  }
+  if (!name.empty()) {
+    Result<Section> section = ParseSection(name, body.dump());
+    if (!section) {
+      return section.error();
+    }
+    sections.push_back(std::move(section.value()));
+  }
+  return sections;
+}
+
+Result<void> AdminHandler::CheckDocument(const std::vector<Section>& sections,
+                                         const Section* changed,
+                                         bool forced,
+                                         Yield yield) {
+  const std::vector<std::string> problems = FindDocumentProblems(sections);
+  if (!problems.empty()) {
+    return NotRun(Errc::kInvalidDocument, Joined(problems));
+  }
+  if (forced || changed == nullptr) {
+    return boost::outcome_v2::success();
+  }
+  const Result<StateView> drains =
+      editor_.Read(std::string(kDrainsName), yield);
+  std::vector<std::string> concerns;
+  if (drains) {
+    concerns = FindStrandedServices(
+        sections, Drains::Parse(drains.value().body.dump()));
+  }
+  if (!changed->regions.empty() || !changed->links.empty()) {
+    const Result<json> status = fleet_.Status(yield);
+    if (status) {
+      for (std::string& concern :
+           FindExceededLimits({*changed}, status.value())) {
+        concerns.push_back(std::move(concern));
+      }
+    }
+  }
+  if (!concerns.empty()) {
+    return NotRun(Errc::kInvalidDocument,
+                  Joined(concerns) + "\n(can be forced)");
+  }
+  return boost::outcome_v2::success();
+}
+
+Failure AdminHandler::DescribeConflict(const Failure& conflict,
+                                       const std::string& entry,
+                                       uint64_t from_revision,
+                                       Yield yield) {
+  Failure failure = conflict;
+  const Result<StateView> view = editor_.Read(entry, yield);
+  if (!view) {
+    return failure;
+  }
+  for (const AuditRecord& record : view.value().recent) {
+    if (record.to_revision > from_revision) {
+      failure.detail += fmt::format("\nrevision {} by {}: {} (change {})",
+                                    record.to_revision, record.who,
+                                    record.action, record.change_id);
+    }
+  }
+  return failure;
+}
+
+Result<std::vector<AuditRecord>> AdminHandler::AllRecords(Yield yield) {
+  const Result<std::vector<std::string>> names = editor_.EntryNames(yield);
+  if (!names) {
+    return names.error();
+  }
+  std::vector<AuditRecord> all;
+  for (const std::string& name : names.value()) {
+    Result<std::vector<AuditRecord>> records = editor_.History(name, yield);
+    if (records) {
+      std::move(records.value().begin(), records.value().end(),
+                std::back_inserter(all));
+    }
+  }
+  return all;
+}
+
+}  // namespace redwing
--- /dev/null
+++ b/src/admin/internal/admin_handler.h
@@ -0,0 +1,97 @@
+#ifndef REDWING_ADMIN_INTERNAL_ADMIN_HANDLER_H_
+#define REDWING_ADMIN_INTERNAL_ADMIN_HANDLER_H_
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "admin/fleet_view.h"
+#include "admin/operator_directory.h"
+#include "admin/state_editor.h"
+#include "framework/http/http_handler.h"
+#include "framework/http/url.h"
+#include "steering/section.h"
+
+namespace redwing {
+
+class Metrics;
+
+// The administration API. Keeps nothing: everything is read from and written
+// to the store, or asked of the fleet.
+class AdminHandler : public HttpHandler {
+ public:
+  AdminHandler(Metrics& metrics,
+               StateEditor editor,
+               OperatorDirectory operators,
+               FleetView fleet);
+
+  void Handle(HttpExchange& exchange, Yield yield) override;
+
+ private:
+  // A call of an authenticated operator.
+  struct Call {
+    const Url& url;
+    std::string method;
+    // Path segments after "/v1/".
+    std::vector<std::string> segments;
+    Operator caller;
+    nlohmann::json body;
+  };
+  using Answer = Result<nlohmann::json>;
+  using Method = Answer (AdminHandler::*)(const Call&, Yield);
+  struct Route {
+    std::string_view method;
+    // Segments; "*" stands for any.
+    std::vector<std::string_view> pattern;
+    Method handler;
+  };
+  static const std::vector<Route>& Routes();
+
+  bool HandlePlain(HttpExchange& exchange, const Url& url, Yield yield);
+  Answer Dispatch(HttpExchange& exchange, const Url& url, Yield yield);
+
+  Answer ListSections(const Call& call, Yield yield);
+  Answer GetSection(const Call& call, Yield yield);
+  Answer PutSection(const Call& call, Yield yield);
+  Answer ValidateSection(const Call& call, Yield yield);
+  Answer SectionHistory(const Call& call, Yield yield);
+  Answer RollBack(const Call& call, Yield yield);
+  Answer IssueKey(const Call& call, Yield yield);
+  Answer WithdrawKey(const Call& call, Yield yield);
+  Answer GetDrains(const Call& call, Yield yield);
+  Answer ChangeDrains(const Call& call, Yield yield);
+  Answer FleetStatus(const Call& call, Yield yield);
+  Answer Audit(const Call& call, Yield yield);
+  Answer VerifyAudit(const Call& call, Yield yield);
+
+  // Replaces a section after checking the whole document with it.
+  Answer ApplySection(const Call& call,
+                      const std::string& name,
+                      const nlohmann::json& body,
+                      const std::string& action,
+                      Yield yield);
+  // Returns the document's sections with one replaced; null keeps all.
+  Result<std::vector<Section>> SectionsWith(const std::string& name,
+                                            const nlohmann::json& body,
+                                            Yield yield);
+  Result<void> CheckDocument(const std::vector<Section>& sections,
+                             const Section* changed,
+                             bool forced,
+                             Yield yield);
+  // Adds to a conflict what changed since the editor's revision, and by whom.
+  Failure DescribeConflict(const Failure& conflict,
+                           const std::string& entry,
+                           uint64_t from_revision,
+                           Yield yield);
+  Result<std::vector<AuditRecord>> AllRecords(Yield yield);
+
+  Metrics& metrics_;
+  StateEditor editor_;
+  OperatorDirectory operators_;
+  FleetView fleet_;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_ADMIN_INTERNAL_ADMIN_HANDLER_H_
--- a/src/config/internal/key_shard.cc
+++ b/src/config/internal/key_shard.cc
@@ -51,4 +51,28 @@
   return {{"records", std::move(items)}};
 }
 
+std::vector<Withdrawal> WithdrawalsFromJson(const json& spec) {
+  std::vector<Withdrawal> withdrawals;
+  if (!spec.is_object() || !spec.contains("withdrawals")) {
+    return withdrawals;
+  }
+  for (const json& item : spec.at("withdrawals")) {
+    if (item.is_object() && item.contains("key_id")) {
+      withdrawals.push_back({item.value("key_id", ""), item.value("by", ""),
+                             item.value("at_ms", int64_t{0})});
+    }
+  }
+  return withdrawals;
+}
+
+json WithdrawalsToJson(const std::vector<Withdrawal>& withdrawals) {
+  json items = json::array();
+  for (const Withdrawal& withdrawal : withdrawals) {
+    items.push_back({{"key_id", withdrawal.key_id},
+                     {"by", withdrawal.by},
+                     {"at_ms", withdrawal.at_ms}});
+  }
+  return {{"withdrawals", std::move(items)}};
+}
+
 }  // namespace redwing
--- a/src/config/internal/peer_sync.cc
+++ b/src/config/internal/peer_sync.cc
@@ -22,7 +22,7 @@
 constexpr Milliseconds kPullInterval{100};
 constexpr Milliseconds kPushInterval{100};
 constexpr Milliseconds kPushFor{60'000};
-constexpr size_t kIdsPerDatagram = 50;
+constexpr size_t kPerDatagram = 50;
 }  // namespace
 
 PeerSync::PeerSync(boost::asio::io_context& io,
@@ -76,11 +76,11 @@
   push_task_.Stop();
 }
 
-void PeerSync::Withdraw(const std::vector<std::string>& key_ids) {
-  keys_->Withdraw(key_ids);
-  for (const std::string& id : key_ids) {
-    pushes_[id].begun = Clock::now();
-  }
+void PeerSync::Withdraw(const Withdrawal& withdrawal) {
+  keys_->Withdraw({withdrawal});
+  Push& push = pushes_[withdrawal.key_id];
+  push.withdrawal = withdrawal;
+  push.begun = Clock::now();
   PushPending();
 }
 
@@ -146,7 +146,7 @@
   for (const StateEntry& entry : reply.value().entries) {
     state_->Apply(entry);
   }
-  if (!keys_->Withdraw(reply.value().withdrawn).empty()) {
+  if (keys_->Withdraw(reply.value().withdrawn)) {
     ScheduleBeat();
   }
   if (reply.value().complete) {
@@ -161,8 +161,7 @@
   if (pull) {
     reply.complete = state_->complete();
     reply.entries = state_->NewerThan(pull.value().revisions);
-    reply.withdrawn.assign(keys_->withdrawn().begin(),
-                           keys_->withdrawn().end());
+    reply.withdrawn = keys_->Withdrawals();
   }
   return EncodePayload(reply);
 }
@@ -174,7 +173,7 @@
   if (!message || member == nullptr) {
     return;
   }
-  keys_->Withdraw(message.value().key_ids);
+  keys_->Withdraw(message.value().withdrawals);
   transport_->Send(UdpEndpoint(member->peer_address),
                    MessageKind::kWithdrawalAck, envelope.payload);
 }
@@ -185,8 +184,8 @@
   if (!message) {
     return;
   }
-  for (const std::string& id : message.value().key_ids) {
-    const auto push = pushes_.find(id);
+  for (const Withdrawal& withdrawal : message.value().withdrawals) {
+    const auto push = pushes_.find(withdrawal.key_id);
     if (push == pushes_.end()) {
       continue;
     }
@@ -206,11 +205,11 @@
           std::count(push.acknowledged_by.begin(), push.acknowledged_by.end(),
                      name) > 0;
       if (!acknowledged && now - push.begun < kPushFor &&
-          message.key_ids.size() < kIdsPerDatagram) {
-        message.key_ids.push_back(id);
+          message.withdrawals.size() < kPerDatagram) {
+        message.withdrawals.push_back(push.withdrawal);
       }
     }
-    if (!message.key_ids.empty()) {
+    if (!message.withdrawals.empty()) {
       transport_->Send(UdpEndpoint(member.peer_address),
                        MessageKind::kWithdrawal, EncodePayload(message));
     }
--- a/src/config/internal/peer_sync.h
+++ b/src/config/internal/peer_sync.h
@@ -38,11 +38,12 @@
   void Start();
   void Stop();
 
-  void Withdraw(const std::vector<std::string>& key_ids) override;
+  void Withdraw(const Withdrawal& withdrawal) override;
   WithdrawalStatus StatusOf(const std::string& key_id) const override;
 
  private:
   struct Push {
+    Withdrawal withdrawal;
     std::vector<std::string> acknowledged_by;
     TimePoint begun;
   };
--- a/src/config/internal/store_watcher.cc
+++ b/src/config/internal/store_watcher.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "config/key_shard.h"
 #include "config/listing_codec.h"
 #include "config/replicated_state.h"
 #include "framework/kernel/sleep.h"
@@ -33,18 +34,6 @@
   return Hash64(fmt::format("{}/{}", region, instance));
 }
 
-std::vector<std::string> IdsOf(const json& spec) {
-  std::vector<std::string> ids;
-  if (spec.is_object() && spec.contains("ids")) {
-    for (const json& id : spec.at("ids")) {
-      if (id.is_string()) {
-        ids.push_back(id.get<std::string>());
-      }
-    }
-  }
-  return ids;
-}
-
 }  // namespace
 
 StoreWatcher::StoreWatcher(boost::asio::io_context& io,
@@ -143,7 +132,7 @@
     current = object.value();
     MergeWithdrawals(current);
   }
-  if (keys_->withdrawn().size() > stored_withdrawals_.size()) {
+  if (keys_->withdrawn_count() > stored_withdrawals_.size()) {
     StoreWithdrawals(std::move(current), yield);
   }
 }
@@ -168,9 +157,11 @@
 }
 
 void StoreWatcher::MergeWithdrawals(const StoredObject& object) {
-  const std::vector<std::string> ids = IdsOf(object.spec);
-  stored_withdrawals_.insert(ids.begin(), ids.end());
-  if (!keys_->Withdraw(ids).empty()) {
+  const std::vector<Withdrawal> stored = WithdrawalsFromJson(object.spec);
+  for (const Withdrawal& withdrawal : stored) {
+    stored_withdrawals_.insert(withdrawal.key_id);
+  }
+  if (keys_->Withdraw(stored)) {
     membership_->BeatNow();
   }
 }
@@ -179,7 +170,7 @@
   const bool absent = object.version.empty();
   object.kind = kStateKind;
   object.name = kWithdrawalsName;
-  object.spec = {{"ids", keys_->withdrawn()}};
+  object.spec = WithdrawalsToJson(keys_->Withdrawals());
   // The set is merged by every reader, so a lost answer needs no resolving:
   // the next poll compares again.
   const Result<StoredObject> written = absent ? store_->Create(object, yield)
--- a/src/config/internal/sync_messages.h
+++ b/src/config/internal/sync_messages.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "config/state_entry.h"
+#include "keys/withdrawal.h"
 
 namespace redwing {
 
@@ -23,7 +24,7 @@
 struct StateReply {
   bool complete = false;
   std::vector<StateEntry> entries;
-  std::vector<std::string> withdrawn;
+  std::vector<Withdrawal> withdrawn;
 
   template <typename Archive>
   void serialize(Archive& archive) {
@@ -33,11 +34,11 @@
 
 // Tells of withdrawn keys, or acknowledges that they are withdrawn.
 struct WithdrawalMessage {
-  std::vector<std::string> key_ids;
+  std::vector<Withdrawal> withdrawals;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(key_ids);
+    archive(withdrawals);
   }
 };
 
--- a/src/config/key_shard.h
+++ b/src/config/key_shard.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "keys/key_record.h"
+#include "keys/withdrawal.h"
 
 namespace redwing {
 
@@ -20,6 +21,10 @@
 std::vector<KeyRecord> KeyRecordsFromJson(const nlohmann::json& body);
 nlohmann::json KeyRecordsToJson(const std::vector<KeyRecord>& records);
 
+// Converts the object of withdrawals: {"withdrawals": [...]}.
+std::vector<Withdrawal> WithdrawalsFromJson(const nlohmann::json& spec);
+nlohmann::json WithdrawalsToJson(const std::vector<Withdrawal>& withdrawals);
+
 }  // namespace redwing
 
 #endif  // REDWING_CONFIG_KEY_SHARD_H_
--- a/src/config/withdrawals.h
+++ b/src/config/withdrawals.h
@@ -5,6 +5,8 @@
 #include <string_view>
 #include <vector>
 
+#include "keys/withdrawal.h"
+
 namespace redwing {
 
 // How far a withdrawal has come.
@@ -27,7 +29,7 @@
 
   virtual ~Withdrawals() = default;
 
-  virtual void Withdraw(const std::vector<std::string>& key_ids) = 0;
+  virtual void Withdraw(const Withdrawal& withdrawal) = 0;
   virtual WithdrawalStatus StatusOf(const std::string& key_id) const = 0;
 };
 
--- a/src/delivery/internal/request_carrier.h
+++ b/src/delivery/internal/request_carrier.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "delivery/internal/connection_pool.h"
+#include "framework/http/connection_pool.h"
 #include "delivery/internal/hop_token.h"
 #include "delivery/internal/idempotency_claims.h"
 #include "delivery/internal/idempotency_table.h"
--- a/src/delivery/internal/upstream_attempt.h
+++ b/src/delivery/internal/upstream_attempt.h
@@ -5,7 +5,7 @@
 #include <optional>
 #include <string>
 
-#include "delivery/internal/connection_pool.h"
+#include "framework/http/connection_pool.h"
 #include "delivery/internal/idempotency_table.h"
 #include "framework/errors/result.h"
 #include "framework/http/http_types.h"
--- a/src/entry/entry_module.h
+++ b/src/entry/entry_module.h
@@ -11,6 +11,7 @@
 class EntryHandler;
 class GracefulStop;
 class HttpServer;
+class PeerTransport;
 struct Identity;
 
 // The HTTP interface of an entry instance and its graceful shutdown.
@@ -29,6 +30,7 @@
  private:
   EntrySettings settings_;
   std::shared_ptr<Identity> identity_;
+  std::shared_ptr<PeerTransport> transport_;
   std::unique_ptr<EntryHandler> handler_;
   std::unique_ptr<HttpServer> server_;
   std::unique_ptr<GracefulStop> graceful_stop_;
--- a/src/entry/internal/entry_handler.cc
+++ b/src/entry/internal/entry_handler.cc
@@ -245,7 +245,10 @@
                 NotRun(Errc::kMalformedRequest, "POST with \"key_id\""), yield);
     return;
   }
-  services_.withdrawals->Withdraw({*id});
+  const int64_t at_ms = std::chrono::duration_cast<Milliseconds>(
+                            std::chrono::system_clock::now().time_since_epoch())
+                            .count();
+  services_.withdrawals->Withdraw({*id, url.Query("by").value_or(""), at_ms});
   const TimePoint give_up = Clock::now() + kWithdrawWait;
   WithdrawalStatus status = services_.withdrawals->StatusOf(*id);
   while (!status.in_force() && Clock::now() < give_up) {
--- a/src/entry/internal/entry_module.cc
+++ b/src/entry/internal/entry_module.cc
@@ -17,6 +17,7 @@
 #include "framework/kernel/kernel.h"
 #include "framework/log/log.h"
 #include "framework/metrics/metrics.h"
+#include "framework/peer/peer_transport.h"
 #include "framework/settings/endpoint.h"
 #include "membership/identity.h"
 #include "membership/membership.h"
@@ -38,6 +39,7 @@
 
 void EntryModule::RegisterServices(Kernel& kernel) {
   identity_ = kernel.Find<Identity>();
+  transport_ = kernel.Find<PeerTransport>();
   EntryServices services;
   services.identity = identity_;
   services.metrics = kernel.Find<Metrics>();
@@ -76,8 +78,8 @@
   }
   spdlog::info("serving on {}", address);
   // One line for whoever started the process with port 0.
-  fmt::print("{{\"http\":\"{}\",\"peer\":\"{}\"}}\n", address,
-             identity_->peer_address);
+  fmt::print("{{\"http\":\"{}\",\"peer_listen\":\"{}\"}}\n", address,
+             transport_->local_address());
   std::fflush(stdout);
 }
 
--- a/src/delivery/internal/connection_pool.h
+++ b/src/framework/http/connection_pool.h
@@ -1,5 +1,5 @@
-#ifndef REDWING_DELIVERY_INTERNAL_CONNECTION_POOL_H_
-#define REDWING_DELIVERY_INTERNAL_CONNECTION_POOL_H_
+#ifndef REDWING_FRAMEWORK_HTTP_CONNECTION_POOL_H_
+#define REDWING_FRAMEWORK_HTTP_CONNECTION_POOL_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -15,7 +15,7 @@
 
 class Metrics;
 
-// Idle connections to targets and other entries. Only a connection whose last
+// Idle client connections, by endpoint. Only a connection whose last
 // exchange ended cleanly comes back, so that no late answer can reach another
 // request.
 class ConnectionPool {
@@ -52,4 +52,4 @@
 
 }  // namespace redwing
 
-#endif  // REDWING_DELIVERY_INTERNAL_CONNECTION_POOL_H_
+#endif  // REDWING_FRAMEWORK_HTTP_CONNECTION_POOL_H_
--- a/src/delivery/internal/connection_pool.cc
+++ b/src/framework/http/internal/connection_pool.cc
@@ -1,4 +1,4 @@
-#include "delivery/internal/connection_pool.h"
+#include "framework/http/connection_pool.h"
 
 #include <algorithm>
 
@@ -36,7 +36,7 @@
   }
   metrics_
       .Get("redwing_upstream_connects_total",
-           "Connections opened to targets and entries, in connections")
+           "Client connections opened, in connections")
       .Add();
   ConnectionPtr connection = std::make_shared<HttpConnection>(io_, sockets_);
   const Result<void> connected = connection->Connect(
--- a/src/keys/internal/key_ring.cc
+++ b/src/keys/internal/key_ring.cc
@@ -18,17 +18,25 @@
   }
 }
 
-std::vector<std::string> KeyRing::Withdraw(
-    const std::vector<std::string>& ids) {
-  std::vector<std::string> fresh;
-  for (const std::string& id : ids) {
-    if (withdrawn_.insert(id).second) {
+bool KeyRing::Withdraw(const std::vector<Withdrawal>& withdrawals) {
+  bool any_new = false;
+  for (const Withdrawal& withdrawal : withdrawals) {
+    if (withdrawn_.emplace(withdrawal.key_id, withdrawal).second) {
       // Exclusive or makes the hash independent of the order.
-      withdrawn_hash_ ^= Hash64(id);
-      fresh.push_back(id);
+      withdrawn_hash_ ^= Hash64(withdrawal.key_id);
+      any_new = true;
     }
   }
-  return fresh;
+  return any_new;
+}
+
+std::vector<Withdrawal> KeyRing::Withdrawals() const {
+  std::vector<Withdrawal> list;
+  list.reserve(withdrawn_.size());
+  for (const auto& [id, withdrawal] : withdrawn_) {
+    list.push_back(withdrawal);
+  }
+  return list;
 }
 
 Result<const KeyRecord*> KeyRing::Check(std::string_view key_text) const {
--- a/src/keys/key_ring.h
+++ b/src/keys/key_ring.h
@@ -2,7 +2,6 @@
 #define REDWING_KEYS_KEY_RING_H_
 
 #include <map>
-#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -10,6 +9,7 @@
 
 #include "framework/errors/result.h"
 #include "keys/key_record.h"
+#include "keys/withdrawal.h"
 
 namespace redwing {
 
@@ -22,12 +22,13 @@
   // Replaces the records of one shard.
   void SetShard(const std::string& shard, std::vector<KeyRecord> records);
 
-  // Adds withdrawn key ids; returns those that were new.
-  std::vector<std::string> Withdraw(const std::vector<std::string>& ids);
+  // Adds withdrawals; returns whether any was new.
+  bool Withdraw(const std::vector<Withdrawal>& withdrawals);
   bool IsWithdrawn(const std::string& id) const {
     return withdrawn_.count(id) > 0;
   }
-  const std::set<std::string>& withdrawn() const { return withdrawn_; }
+  size_t withdrawn_count() const { return withdrawn_.size(); }
+  std::vector<Withdrawal> Withdrawals() const;
   // Hash of the set of withdrawn ids, equal on instances with equal sets.
   uint64_t withdrawn_hash() const { return withdrawn_hash_; }
 
@@ -38,7 +39,7 @@
  private:
   std::map<std::string, std::vector<std::string>> shard_ids_;
   std::unordered_map<std::string, KeyRecord> records_;
-  std::set<std::string> withdrawn_;
+  std::map<std::string, Withdrawal> withdrawn_;
   uint64_t withdrawn_hash_ = 0;
 };
 
--- a/testing/fault_proxy/fault_proxy.cc
+++ b/testing/fault_proxy/fault_proxy.cc
@@ -1,7 +1,5 @@
 #include "testing/fault_proxy/fault_proxy.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
 
 #include "framework/http/url.h"
@@ -58,6 +56,9 @@
   const json body = ReadControl(exchange, yield);
   if (target == "/_control/link" && body.is_object()) {
     SendJson(exchange, 200, AddLink(body), yield);
+  } else if (target == "/_control/retarget" && body.is_object()) {
+    Retarget(body);
+    SendJson(exchange, 200, json::object(), yield);
   } else if (target == "/_control/rules" && body.is_array()) {
     for (const json& item : body) {
       SetRules(item);
@@ -103,19 +104,35 @@
 }
 
 json FaultProxy::AddLink(const json& body) {
-  const std::string listen = body.value("listen", "127.0.0.1:0");
-  const std::string to = body.value("to", "");
-  if (body.value("protocol", "tcp") == "udp") {
-    udp_links_.push_back(std::make_unique<UdpLink>(*this, UdpEndpoint(listen),
-                                                   UdpEndpoint(to)));
-    const boost::asio::ip::udp::endpoint at =
-        udp_links_.back()->local_endpoint();
-    return {{"listen", fmt::format("{}:{}", at.address().to_string(),
-                                   at.port())}};
+  const std::string protocol = body.value("protocol", "tcp");
+  boost::asio::ip::tcp::endpoint listen =
+      TcpEndpoint(body.value("listen", "127.0.0.1:0"));
+  const std::string to = body.value("to", "127.0.0.1:0");
+  std::unique_ptr<UdpLink> udp;
+  std::unique_ptr<TcpLink> tcp;
+  if (protocol != "tcp") {
+    udp = std::make_unique<UdpLink>(
+        *this, UdpEndpoint(FormatEndpoint(listen)), UdpEndpoint(to));
+    listen.port(udp->local_endpoint().port());
+  }
+  if (protocol != "udp") {
+    tcp = std::make_unique<TcpLink>(*this, listen, TcpEndpoint(to));
+    listen.port(tcp->local_endpoint().port());
+  }
+  udp_links_.push_back(std::move(udp));
+  tcp_links_.push_back(std::move(tcp));
+  return {{"link", tcp_links_.size() - 1}, {"listen", FormatEndpoint(listen)}};
+}
+
+void FaultProxy::Retarget(const json& body) {
+  const size_t link = body.at("link");
+  const std::string to = body.at("to");
+  if (tcp_links_.at(link)) {
+    tcp_links_.at(link)->SetTo(TcpEndpoint(to));
+  }
+  if (udp_links_.at(link)) {
+    udp_links_.at(link)->SetTo(UdpEndpoint(to));
   }
-  tcp_links_.push_back(std::make_unique<TcpLink>(*this, TcpEndpoint(listen),
-                                                 TcpEndpoint(to)));
-  return {{"listen", FormatEndpoint(tcp_links_.back()->local_endpoint())}};
 }
 
 void FaultProxy::SetRules(const json& body) {
--- a/testing/fault_proxy/fault_proxy.h
+++ b/testing/fault_proxy/fault_proxy.h
@@ -70,7 +70,10 @@
     std::vector<uint64_t> tenths;
   };
 
+  // Opens a TCP link, a UDP link, or both with the same port number. Where it
+  // leads can be set later, by its number.
   nlohmann::json AddLink(const nlohmann::json& body);
+  void Retarget(const nlohmann::json& body);
   void SetRules(const nlohmann::json& body);
   nlohmann::json Meters() const;
 
@@ -84,6 +87,7 @@
   std::map<Pair, FaultRule> rules_;
   std::map<Pair, TimePoint> line_free_;
   std::map<Pair, Meter> meters_;
+  // Both by number; either may be null.
   std::vector<std::unique_ptr<TcpLink>> tcp_links_;
   std::vector<std::unique_ptr<UdpLink>> udp_links_;
 };
--- a/testing/fault_proxy/links.h
+++ b/testing/fault_proxy/links.h
@@ -21,6 +21,7 @@
           const boost::asio::ip::tcp::endpoint& listen,
           boost::asio::ip::tcp::endpoint to);
 
+  void SetTo(const boost::asio::ip::tcp::endpoint& to) { to_ = to; }
   boost::asio::ip::tcp::endpoint local_endpoint() const {
     return acceptor_.local_endpoint();
   }
@@ -40,6 +41,7 @@
           const boost::asio::ip::udp::endpoint& listen,
           boost::asio::ip::udp::endpoint to);
 
+  void SetTo(const boost::asio::ip::udp::endpoint& to) { to_ = to; }
   boost::asio::ip::udp::endpoint local_endpoint() const {
     return socket_.local_endpoint();
   }
