--- a/apps/program_options.h
+++ b/apps/program_options.h
@@ -24,10 +24,7 @@
 
 // Parses the command line. Returns whether to go on; otherwise the exit code
 // is in `code`.
-inline bool ParseCommandLine(CLI::App& app,
-                             int argc,
-                             char** argv,
-                             int* code) {
+inline bool ParseCommandLine(CLI::App& app, int argc, char** argv, int* code) {
   try {
     app.parse(argc, argv);
     return true;
--- a/apps/redwing_entry.cc
+++ b/apps/redwing_entry.cc
@@ -44,10 +44,10 @@
   kernel.AddModule(std::make_unique<CoreModule>(settings.source_address));
   kernel.AddModule(std::make_unique<PeerModule>(
       settings.instance, settings.peer_listen, settings.fleet_secrets));
-  kernel.AddModule(std::make_unique<PlatformModule>(
-      settings.platform_address, settings.platform_timeout));
-  kernel.AddModule(std::make_unique<MembershipModule>(identity, membership,
-                                                      settings.seeds));
+  kernel.AddModule(std::make_unique<PlatformModule>(settings.platform_address,
+                                                    settings.platform_timeout));
+  kernel.AddModule(
+      std::make_unique<MembershipModule>(identity, membership, settings.seeds));
   kernel.AddModule(std::make_unique<ConfigModule>(settings.freshness_limit));
   kernel.AddModule(
       std::make_unique<BudgetModule>(settings.budget_strategy, budgets));
--- a/src/admin/internal/admin_handler.cc
+++ b/src/admin/internal/admin_handler.cc
@@ -51,9 +51,9 @@
 }
 
 Failure Forbidden(const Operator& caller, std::string_view section) {
-  return NotRun(Errc::kForbidden,
-                fmt::format("operator \"{}\" may not edit \"{}\"", caller.name,
-                            section));
+  return NotRun(
+      Errc::kForbidden,
+      fmt::format("operator \"{}\" may not edit \"{}\"", caller.name, section));
 }
 
 json RecordsJson(const std::vector<AuditRecord>& records) {
@@ -138,9 +138,11 @@
   if (url.path.compare(0, kApiPrefix.size(), kApiPrefix) != 0) {
     return NotRun(Errc::kUnknownRoute, "no such path");
   }
-  Call call{url, std::string(exchange.method()),
+  Call call{url,
+            std::string(exchange.method()),
             Split(std::string_view(url.path).substr(kApiPrefix.size())),
-            {}, {}};
+            {},
+            {}};
   const auto matches = [&call](const Route& route) {
     return std::equal(route.pattern.begin(), route.pattern.end(),
                       call.segments.begin(), call.segments.end(),
@@ -223,9 +225,8 @@
     return view.error();
   }
   if (view.value().revision == 0) {
-    return NotRun(Errc::kNotFound,
-                  fmt::format("section \"{}\" does not exist",
-                              call.segments[1]));
+    return NotRun(Errc::kNotFound, fmt::format("section \"{}\" does not exist",
+                                               call.segments[1]));
   }
   return json{{"name", call.segments[1]},
               {"revision", view.value().revision},
@@ -276,9 +277,9 @@
   if (!records) {
     return records.error();
   }
-  const auto record = std::find_if(
-      records.value().begin(), records.value().end(),
-      [to](const AuditRecord& r) { return r.to_revision == to; });
+  const auto record =
+      std::find_if(records.value().begin(), records.value().end(),
+                   [to](const AuditRecord& r) { return r.to_revision == to; });
   if (record == records.value().end()) {
     return NotRun(Errc::kNotFound,
                   fmt::format("revision {} does not exist", to));
@@ -298,8 +299,7 @@
   KeyRecord record;
   record.workspace = call.body.value("workspace", "");
   record.operator_name = call.body.value("operator", "");
-  record.sections =
-      call.body.value("sections", std::vector<std::string>());
+  record.sections = call.body.value("sections", std::vector<std::string>());
   if (record.workspace.empty() == record.operator_name.empty()) {
     return NotRun(Errc::kMalformedRequest,
                   "expected either \"workspace\" or \"operator\"");
@@ -315,9 +315,9 @@
   StateEdit edit;
   edit.entry = KeyShardName(key.id);
   edit.who = call.caller.name;
-  edit.action = fmt::format("issue key {} for {}", key.id,
-                            record.workspace.empty() ? record.operator_name
-                                                     : record.workspace);
+  edit.action = fmt::format(
+      "issue key {} for {}", key.id,
+      record.workspace.empty() ? record.operator_name : record.workspace);
   edit.change = [&record](const json& current) -> Result<json> {
     std::vector<KeyRecord> records = KeyRecordsFromJson(current);
     records.push_back(record);
@@ -339,8 +339,7 @@
 
 AdminHandler::Answer AdminHandler::GetDrains(const Call& /*call*/,
                                              Yield yield) {
-  const Result<StateView> view =
-      editor_.Read(std::string(kDrainsName), yield);
+  const Result<StateView> view = editor_.Read(std::string(kDrainsName), yield);
   if (!view) {
     return view.error();
   }
@@ -348,8 +347,7 @@
               {"body", Drains::Parse(view.value().body.dump()).ToJson()}};
 }
 
-AdminHandler::Answer AdminHandler::ChangeDrains(const Call& call,
-                                                Yield yield) {
+AdminHandler::Answer AdminHandler::ChangeDrains(const Call& call, Yield yield) {
   if (!call.caller.MayEdit(kDrainSection)) {
     return Forbidden(call.caller, kDrainSection);
   }
@@ -363,16 +361,15 @@
                   "\"kind\" is one of targets, failure_domains, regions, "
                   "instances");
   }
-  const Result<std::vector<Section>> sections =
-      SectionsWith("", json(), yield);
+  const Result<std::vector<Section>> sections = SectionsWith("", json(), yield);
   if (!sections) {
     return sections.error();
   }
   StateEdit edit;
   edit.entry = kDrainsName;
   edit.who = call.caller.name;
-  edit.action = fmt::format("{} {} {}", drained ? "drain" : "undrain", kind,
-                            name);
+  edit.action =
+      fmt::format("{} {} {}", drained ? "drain" : "undrain", kind, name);
   edit.forced = forced;
   edit.change = [&](const json& current) -> Result<json> {
     json body = Drains::Parse(current.dump()).ToJson();
@@ -383,8 +380,8 @@
       names.erase(name);
     }
     body[kind] = names;
-    const std::vector<std::string> stranded = FindStrandedServices(
-        sections.value(), Drains::Parse(body.dump()));
+    const std::vector<std::string> stranded =
+        FindStrandedServices(sections.value(), Drains::Parse(body.dump()));
     if (drained && !forced && !stranded.empty()) {
       return NotRun(Errc::kInvalidDocument, Joined(stranded));
     }
@@ -476,8 +473,8 @@
     if (!sections) {
       return sections.error();
     }
-    const Result<void> checked = CheckDocument(
-        sections.value(), &changed.value(), forced, yield);
+    const Result<void> checked =
+        CheckDocument(sections.value(), &changed.value(), forced, yield);
     if (!checked) {
       return checked.error();
     }
@@ -494,10 +491,9 @@
               {"change_id", result.value().change_id}};
 }
 
-Result<std::vector<Section>> AdminHandler::SectionsWith(
-    const std::string& name,
-    const json& body,
-    Yield yield) {
+Result<std::vector<Section>> AdminHandler::SectionsWith(const std::string& name,
+                                                        const json& body,
+                                                        Yield yield) {
   const Result<std::vector<std::string>> names = editor_.EntryNames(yield);
   if (!names) {
     return names.error();
@@ -512,8 +508,8 @@
     if (!view) {
       return view.error();
     }
-    Result<Section> section = ParseSection(
-        entry.substr(kSectionPrefix.size()), view.value().body.dump());
+    Result<Section> section = ParseSection(entry.substr(kSectionPrefix.size()),
+                                           view.value().body.dump());
     if (!section) {
       return section.error();
     }
@@ -544,8 +540,8 @@
       editor_.Read(std::string(kDrainsName), yield);
   std::vector<std::string> concerns;
   if (drains) {
-    concerns = FindStrandedServices(
-        sections, Drains::Parse(drains.value().body.dump()));
+    concerns = FindStrandedServices(sections,
+                                    Drains::Parse(drains.value().body.dump()));
   }
   if (!changed->regions.empty() || !changed->links.empty()) {
     const Result<json> status = fleet_.Status(yield);
@@ -574,9 +570,9 @@
   }
   for (const AuditRecord& record : view.value().recent) {
     if (record.to_revision > from_revision) {
-      failure.detail += fmt::format("\nrevision {} by {}: {} (change {})",
-                                    record.to_revision, record.who,
-                                    record.action, record.change_id);
+      failure.detail +=
+          fmt::format("\nrevision {} by {}: {} (change {})", record.to_revision,
+                      record.who, record.action, record.change_id);
     }
   }
   return failure;
--- a/src/admin/internal/admin_module.cc
+++ b/src/admin/internal/admin_module.cc
@@ -26,8 +26,7 @@
 
 void AdminModule::RegisterServices(Kernel& kernel) {
   const std::shared_ptr<Metrics> metrics = kernel.Find<Metrics>();
-  const std::shared_ptr<SocketRegistry> sockets =
-      kernel.Find<SocketRegistry>();
+  const std::shared_ptr<SocketRegistry> sockets = kernel.Find<SocketRegistry>();
   const std::shared_ptr<ObjectStore> store = kernel.Find<ObjectStore>();
   handler_ = std::make_unique<AdminHandler>(
       *metrics, StateEditor(store),
--- a/src/admin/internal/edit_checks.cc
+++ b/src/admin/internal/edit_checks.cc
@@ -44,9 +44,8 @@
                    drains.failure_domains.count(target.failure_domain) == 0;
           });
       if (!served) {
-        problems.push_back(
-            fmt::format("service \"{}\" would have no target left",
-                        service.name));
+        problems.push_back(fmt::format(
+            "service \"{}\" would have no target left", service.name));
       }
     }
   }
--- a/src/admin/internal/fleet_view.cc
+++ b/src/admin/internal/fleet_view.cc
@@ -69,8 +69,8 @@
   call.method = method;
   call.target = target;
   call.timeout = kCallTimeout;
-  call.headers[std::string(kInternalCallField)] = SignInternalCall(
-      fleet_secret_, StdView(http::to_string(method)), target);
+  call.headers[std::string(kInternalCallField)] =
+      SignInternalCall(fleet_secret_, StdView(http::to_string(method)), target);
   const Result<HttpReply> reply = client_.Call(call, yield);
   if (!reply) {
     return reply.error();
--- a/src/admin/internal/operator_directory.cc
+++ b/src/admin/internal/operator_directory.cc
@@ -37,15 +37,15 @@
   if (!withdrawn && withdrawn.error().errc != Errc::kNotFound) {
     return withdrawn.error();
   }
-  const Result<StoredObject> shard = store_->Get(
-      std::string(kStateKind), KeyShardName(parsed->id), yield);
+  const Result<StoredObject> shard =
+      store_->Get(std::string(kStateKind), KeyShardName(parsed->id), yield);
   if (!shard) {
     return shard.error().errc == Errc::kNotFound
                ? NotRun(Errc::kUnknownKey, "the key is not known")
                : shard.error();
   }
-  for (const KeyRecord& record : KeyRecordsFromJson(
-           shard.value().spec.value("body", nlohmann::json()))) {
+  for (const KeyRecord& record :
+       KeyRecordsFromJson(shard.value().spec.value("body", nlohmann::json()))) {
     if (record.id != parsed->id || record.operator_name.empty() ||
         !parsed->Matches(record)) {
       continue;
--- a/src/admin/internal/state_editor.cc
+++ b/src/admin/internal/state_editor.cc
@@ -62,11 +62,10 @@
 
 }  // namespace
 
-Result<StateEditResult> StateEditor::Apply(const StateEdit& edit,
-                                           Yield yield) {
+Result<StateEditResult> StateEditor::Apply(const StateEdit& edit, Yield yield) {
   const std::string change_id = RandomHex(kChangeIdBytes);
-  Failure last = NotRun(Errc::kConflict, "too many editors at once",
-                        Milliseconds(1000));
+  Failure last =
+      NotRun(Errc::kConflict, "too many editors at once", Milliseconds(1000));
   for (int attempt = 0; attempt < kAttempts; ++attempt) {
     const Result<Draft> draft = MakeDraft(edit, change_id, yield);
     if (!draft) {
@@ -90,10 +89,10 @@
     }
     const std::optional<bool> applied = WasApplied(edit, change_id, yield);
     if (!applied) {
-      return Failure{Errc::kStoreUnavailable, Verdict::kMayHaveRun,
-                     fmt::format("the outcome of change {} is not known",
-                                 change_id),
-                     Milliseconds(2000)};
+      return Failure{
+          Errc::kStoreUnavailable, Verdict::kMayHaveRun,
+          fmt::format("the outcome of change {} is not known", change_id),
+          Milliseconds(2000)};
     }
     if (*applied) {
       return StateEditResult{draft.value().record.to_revision, change_id};
@@ -124,8 +123,7 @@
 }
 
 Result<std::vector<std::string>> StateEditor::EntryNames(Yield yield) {
-  const Result<ObjectList> list =
-      store_->List(std::string(kStateKind), yield);
+  const Result<ObjectList> list = store_->List(std::string(kStateKind), yield);
   if (!list) {
     return list.error();
   }
@@ -136,9 +134,8 @@
   return names;
 }
 
-Result<std::vector<AuditRecord>> StateEditor::History(
-    const std::string& entry,
-    Yield yield) {
+Result<std::vector<AuditRecord>> StateEditor::History(const std::string& entry,
+                                                      Yield yield) {
   const Result<StateView> view = Read(entry, yield);
   if (!view) {
     return view.error();
--- a/src/budget/internal/demand_meter.cc
+++ b/src/budget/internal/demand_meter.cc
@@ -15,8 +15,7 @@
     updated_at_ = now;
     return;
   }
-  const double seconds =
-      std::min(kMaxGapSeconds, ToSeconds(now - updated_at_));
+  const double seconds = std::min(kMaxGapSeconds, ToSeconds(now - updated_at_));
   if (seconds <= 0) {
     return;
   }
--- a/src/budget/internal/lending_policy.cc
+++ b/src/budget/internal/lending_policy.cc
@@ -32,8 +32,7 @@
 
   double ShareToLend(const BudgetAccount& account,
                      double wanted) const override {
-    const double own =
-        account.bucket.own_share() - account.bucket.lent_share();
+    const double own = account.bucket.own_share() - account.bucket.lent_share();
     const double spare =
         std::min(own, account.bucket.EffectiveShare() - account.NeededShare());
     const double lent = std::min(spare, wanted);
--- a/src/budget/internal/share_bucket.cc
+++ b/src/budget/internal/share_bucket.cc
@@ -22,11 +22,11 @@
 }
 
 void RemoveEnded(std::vector<ShareLease>* leases, TimePoint now) {
-  leases->erase(
-      std::remove_if(
-          leases->begin(), leases->end(),
-          [now](const ShareLease& lease) { return lease.until <= now; }),
-      leases->end());
+  leases->erase(std::remove_if(leases->begin(), leases->end(),
+                               [now](const ShareLease& lease) {
+                                 return lease.until <= now;
+                               }),
+                leases->end());
 }
 
 bool Extend(std::vector<ShareLease>* leases, uint64_t id, TimePoint until) {
--- a/src/budget/internal/share_budgets.cc
+++ b/src/budget/internal/share_budgets.cc
@@ -46,8 +46,8 @@
   }
   for (const Link& link : document.links()) {
     if (link.from == own_region) {
-      specs.push_back({LinkBudgetName(link.from, link.to),
-                       BudgetScope::kRegion, link.cap,
+      specs.push_back({LinkBudgetName(link.from, link.to), BudgetScope::kRegion,
+                       link.cap,
                        std::max(kMinLinkBurst, link.cap * kLinkBurstSeconds)});
     }
   }
@@ -135,10 +135,9 @@
   const double wait_limit =
       ToSeconds(std::min<Clock::duration>(options_.max_wait, deadline - now));
   const bool can_borrow = policy_->ShareToBorrow(account) > 0;
-  const bool hopeless =
-      can_borrow ? account.waiting_amount + amount >
-                       account.bucket.spec().rate * wait_limit
-                 : wait_seconds > wait_limit;
+  const bool hopeless = can_borrow ? account.waiting_amount + amount >
+                                         account.bucket.spec().rate * wait_limit
+                                   : wait_seconds > wait_limit;
   if (hopeless || account.waiters.size() >= options_.max_waiters ||
       !Wait(account, amount,
             std::min<TimePoint>(deadline, now + options_.max_wait), yield)) {
@@ -170,12 +169,11 @@
   const TimePoint now = Clock::now();
   for (auto& [name, account] : accounts_) {
     const double tokens = account.bucket.Tokens(now);
-    list.push_back({name, account.bucket.spec().rate,
-                    account.bucket.spec().burst, account.bucket.own_share(),
-                    account.bucket.lent_share(),
-                    account.bucket.borrowed_share(), tokens,
-                    account.demand.rate(), account.waiters.size(),
-                    account.spent, account.refused});
+    list.push_back(
+        {name, account.bucket.spec().rate, account.bucket.spec().burst,
+         account.bucket.own_share(), account.bucket.lent_share(),
+         account.bucket.borrowed_share(), tokens, account.demand.rate(),
+         account.waiters.size(), account.spent, account.refused});
   }
   return list;
 }
@@ -279,11 +277,11 @@
   const double rate =
       std::max(account.bucket.Rate(), account.bucket.spec().rate * 0.01);
   const double seconds = (account.waiting_amount + amount) / rate;
-  const Milliseconds retry_after = std::min(
-      kMaxRetryAfter,
-      Milliseconds(static_cast<int64_t>(std::ceil(seconds * 1000))));
-  return NotRun(Errc::kRateExceeded,
-                "over the rate of " + std::string(name), retry_after);
+  const Milliseconds retry_after =
+      std::min(kMaxRetryAfter,
+               Milliseconds(static_cast<int64_t>(std::ceil(seconds * 1000))));
+  return NotRun(Errc::kRateExceeded, "over the rate of " + std::string(name),
+                retry_after);
 }
 
 void ShareBudgets::BorrowFor(const std::string& name,
@@ -300,22 +298,21 @@
     return;
   }
   // A peer holds about an equal share: ask as many as are likely needed.
-  const size_t wanted = static_cast<size_t>(std::ceil(
-      missing * static_cast<double>(lenders.size() + 1)));
+  const size_t wanted = static_cast<size_t>(
+      std::ceil(missing * static_cast<double>(lenders.size() + 1)));
   const size_t count = std::clamp<size_t>(wanted, 1, lenders.size());
   for (size_t i = 0; i < count; ++i) {
-    SendRequest(lenders[i]->name,
-                {name, lenders[i]->name, 0,
-                 missing / static_cast<double>(count), now},
-                now);
+    SendRequest(
+        lenders[i]->name,
+        {name, lenders[i]->name, 0, missing / static_cast<double>(count), now},
+        now);
   }
 }
 
 void ShareBudgets::RenewLeases(const std::string& name,
                                BudgetAccount& account,
                                TimePoint now) {
-  double surplus =
-      account.bucket.EffectiveShare() - account.NeededShare();
+  double surplus = account.bucket.EffectiveShare() - account.NeededShare();
   for (const ShareLease& lease : account.bucket.borrowed()) {
     if (lease.until - now > options_.lease_duration / 2) {
       continue;
@@ -348,8 +345,9 @@
                              request.share};
   request.sent_at = now;
   open_requests_.emplace(id, std::move(request));
-  metrics_.Get("redwing_lease_requests_total",
-               "Requests to lend a share, in messages")
+  metrics_
+      .Get("redwing_lease_requests_total",
+           "Requests to lend a share, in messages")
       .Add();
   transport_->Send(UdpEndpoint(member->peer_address),
                    MessageKind::kLeaseRequest, EncodePayload(message));
@@ -369,8 +367,7 @@
   std::vector<const Member*> lenders;
   for (const auto& [name, member] : membership_->members()) {
     const bool same_region = member.region == identity_->region;
-    if (member.usable() &&
-        (spec.scope == BudgetScope::kFleet || same_region)) {
+    if (member.usable() && (spec.scope == BudgetScope::kFleet || same_region)) {
       lenders.push_back(&member);
     }
   }
@@ -401,10 +398,10 @@
   LeaseGrant grant;
   grant.request_id = request.request_id;
   grant.duration_ms = static_cast<uint32_t>(options_.lease_duration.count());
-  const TimePoint until =
-      now + std::chrono::duration_cast<Clock::duration>(
-                options_.lease_duration * kLenderMargin) +
-      kLenderExtra;
+  const TimePoint until = now +
+                          std::chrono::duration_cast<Clock::duration>(
+                              options_.lease_duration * kLenderMargin) +
+                          kLenderExtra;
   if (request.lease_id != 0) {
     if (!policy_->ExtendLease(account) ||
         !account.bucket.ExtendLent(request.lease_id, until, now)) {
@@ -420,8 +417,9 @@
     grant.tokens = account.bucket.Lend(
         {grant.lease_id, envelope.sender, grant.share, until}, now);
   }
-  metrics_.Get("redwing_lease_grants_total",
-               "Leases granted or extended, in leases")
+  metrics_
+      .Get("redwing_lease_grants_total",
+           "Leases granted or extended, in leases")
       .Add();
   transport_->Send(UdpEndpoint(member->peer_address), MessageKind::kLeaseGrant,
                    EncodePayload(grant));
@@ -447,8 +445,7 @@
   const TimePoint now = Clock::now();
   // Counted from the sending of the request, so that the lease ends here
   // before it ends at the lender.
-  const TimePoint until =
-      request.sent_at + Milliseconds(grant.duration_ms);
+  const TimePoint until = request.sent_at + Milliseconds(grant.duration_ms);
   ShareBucket& bucket = found->second.bucket;
   if (request.lease_id != 0) {
     bucket.ExtendBorrowed(request.lease_id, until, now);
--- a/src/budget/internal/share_budgets.h
+++ b/src/budget/internal/share_budgets.h
@@ -82,9 +82,7 @@
   void RenewLeases(const std::string& name,
                    BudgetAccount& account,
                    TimePoint now);
-  void SendRequest(const std::string& peer,
-                   OpenRequest request,
-                   TimePoint now);
+  void SendRequest(const std::string& peer, OpenRequest request, TimePoint now);
   double OpenShare(const std::string& budget) const;
   std::vector<const Member*> Lenders(const BudgetSpec& spec);
   void HandleRequest(const Envelope& envelope);
--- a/src/budget/internal/share_holders.cc
+++ b/src/budget/internal/share_holders.cc
@@ -45,12 +45,10 @@
 std::string ShareHolders::Text() const {
   json value = json::object();
   for (const auto& [name, holder] : by_instance) {
-    value[name] = {{"process", holder.process_id},
-                   {"region", holder.region},
-                   {"fleet", holder.fleet_parts},
-                   {"in_region", holder.region_parts},
-                   {"revoked", holder.revoked},
-                   {"inherited", holder.inherited}};
+    value[name] = {
+        {"process", holder.process_id}, {"region", holder.region},
+        {"fleet", holder.fleet_parts},  {"in_region", holder.region_parts},
+        {"revoked", holder.revoked},    {"inherited", holder.inherited}};
   }
   return value.dump();
 }
--- a/src/budget/internal/share_ledger.cc
+++ b/src/budget/internal/share_ledger.cc
@@ -74,8 +74,7 @@
   if (lowered != lowered_.end()) {
     parts = std::min(parts, lowered->second);
   }
-  return static_cast<double>(parts) /
-         static_cast<double>(ShareHolders::kWhole);
+  return static_cast<double>(parts) / static_cast<double>(ShareHolders::kWhole);
 }
 
 void ShareLedger::Loop(Yield yield) {
@@ -87,8 +86,7 @@
     }
     for (int attempt = 0; attempt < kAttempts; ++attempt) {
       const ShareHolders planned = Plan(holders_, Clock::now());
-      if (planned == holders_ ||
-          Publish(planned, yield) != Errc::kConflict) {
+      if (planned == holders_ || Publish(planned, yield) != Errc::kConflict) {
         break;
       }
       SleepFor(io_, Milliseconds(jitter(random_)), yield);
@@ -160,9 +158,9 @@
     const std::string& name = item->first;
     ShareHolder& holder = item->second;
     const Member* const member = membership_->Find(name);
-    const bool gone = name != identity_->name &&
-                      (member == nullptr ||
-                       (!member->listed && !member->usable()));
+    const bool gone =
+        name != identity_->name &&
+        (member == nullptr || (!member->listed && !member->usable()));
     if (!gone) {
       missing_since_.erase(name);
       revoked_since_.erase(name);
@@ -192,8 +190,7 @@
   for (const auto& [name, member] : membership_->members()) {
     const bool counts = member.listed || member.usable();
     if (counts && member.state != MemberState::kLeaving &&
-        (scope == BudgetScope::kFleet ||
-         member.region == identity_->region)) {
+        (scope == BudgetScope::kFleet || member.region == identity_->region)) {
       ++count;
     }
   }
@@ -213,8 +210,7 @@
   }
   const Result<StoredObject> current =
       store_->Get(std::string(kStateKind), std::string(kSharesName), yield);
-  const bool absent =
-      !current && current.error().errc == Errc::kNotFound;
+  const bool absent = !current && current.error().errc == Errc::kNotFound;
   if (!current && !absent) {
     // The store is down: the published shares stay in force.
     lowered_.clear();
@@ -232,9 +228,8 @@
   const ShareHolders next = Plan(base, Clock::now());
   for (const BudgetScope scope : kScopes) {
     const auto next_own = next.by_instance.find(identity_->name);
-    const int64_t parts = next_own == next.by_instance.end()
-                              ? 0
-                              : next_own->second.parts(scope);
+    const int64_t parts =
+        next_own == next.by_instance.end() ? 0 : next_own->second.parts(scope);
     lowered_[scope] = std::min(lowered_[scope], parts);
   }
   on_change_.Notify();
--- a/src/config/internal/config_module.cc
+++ b/src/config/internal/config_module.cc
@@ -25,10 +25,9 @@
   config_ = std::make_shared<DocumentConfig>(state_, keys);
   watcher_ = std::make_shared<StoreWatcher>(kernel.io(), state_, keys,
                                             kernel.Find<Identity>());
-  sync_ = std::make_shared<PeerSync>(kernel.io(), *metrics, state_, keys,
-                                     watcher_);
-  freshness_ =
-      std::make_shared<MajorityFreshness>(watcher_, freshness_limit_);
+  sync_ =
+      std::make_shared<PeerSync>(kernel.io(), *metrics, state_, keys, watcher_);
+  freshness_ = std::make_shared<MajorityFreshness>(watcher_, freshness_limit_);
   kernel.Register(keys);
   kernel.Register(state_);
   kernel.Register<SteeringConfig>(config_);
@@ -39,8 +38,8 @@
 void ConfigModule::ResolveDependencies(Kernel& kernel) {
   const std::shared_ptr<Membership> membership = kernel.Find<Membership>();
   config_->Attach(membership);
-  watcher_->Attach(kernel.Find<ObjectStore>(),
-                   kernel.Find<InstanceDirectory>(), membership);
+  watcher_->Attach(kernel.Find<ObjectStore>(), kernel.Find<InstanceDirectory>(),
+                   membership);
   sync_->Attach(kernel.Find<PeerTransport>(), membership);
   freshness_->Attach(membership);
 }
--- a/src/config/internal/document_config.cc
+++ b/src/config/internal/document_config.cc
@@ -21,8 +21,7 @@
                                std::shared_ptr<KeyRing> keys)
     : state_(std::move(state)),
       keys_(std::move(keys)),
-      document_(
-          std::make_shared<SteeringDocument>(std::vector<Section>())) {
+      document_(std::make_shared<SteeringDocument>(std::vector<Section>())) {
   state_->on_applied().Subscribe(
       [this](const StateEntry& entry) { HandleEntry(entry); });
 }
--- a/src/config/internal/peer_sync.cc
+++ b/src/config/internal/peer_sync.cc
@@ -119,8 +119,8 @@
   TimePoint& last = pulls_[name];
   if (now - last >= kPullInterval) {
     last = now;
-    boost::asio::spawn(
-        io_, [this, name](const Yield& yield) { Pull(name, yield); });
+    boost::asio::spawn(io_,
+                       [this, name](const Yield& yield) { Pull(name, yield); });
   }
   return false;
 }
--- a/src/config/internal/store_watcher.cc
+++ b/src/config/internal/store_watcher.cc
@@ -106,8 +106,7 @@
 }
 
 Result<std::string> StoreWatcher::ReadAll(Yield yield) {
-  const Result<ObjectList> list =
-      store_->List(std::string(kStateKind), yield);
+  const Result<ObjectList> list = store_->List(std::string(kStateKind), yield);
   if (!list) {
     return list.error();
   }
@@ -173,8 +172,8 @@
   object.spec = WithdrawalsToJson(keys_->Withdrawals());
   // The set is merged by every reader, so a lost answer needs no resolving:
   // the next poll compares again.
-  const Result<StoredObject> written = absent ? store_->Create(object, yield)
-                                              : store_->Update(object, yield);
+  const Result<StoredObject> written =
+      absent ? store_->Create(object, yield) : store_->Update(object, yield);
   if (written) {
     MergeWithdrawals(written.value());
   }
--- a/src/delivery/internal/caller_key.cc
+++ b/src/delivery/internal/caller_key.cc
@@ -15,7 +15,8 @@
     "api_key", "apikey", "key", "access_token"};
 constexpr std::string_view kBearer = "bearer ";
 
-bool IsOneOf(std::string_view name, const std::string_view* begin,
+bool IsOneOf(std::string_view name,
+             const std::string_view* begin,
              const std::string_view* end) {
   return std::any_of(begin, end, [name](std::string_view item) {
     return boost::beast::iequals(BeastView(name), BeastView(item));
@@ -42,8 +43,7 @@
 
 }  // namespace
 
-Result<std::string> FindCallerKey(const RequestHeader& header,
-                                  const Url& url) {
+Result<std::string> FindCallerKey(const RequestHeader& header, const Url& url) {
   std::vector<std::string> found;
   for (auto field = header.begin(); field != header.end(); ++field) {
     if (field->name() == http::field::authorization) {
@@ -95,8 +95,7 @@
   std::string query;
   for (const QueryParameter& parameter : url.query) {
     if (IsCredentialParameter(parameter.name) ||
-        ContainsKey(parameter.name, key) ||
-        ContainsKey(parameter.value, key)) {
+        ContainsKey(parameter.name, key) || ContainsKey(parameter.value, key)) {
       continue;
     }
     query += query.empty() ? "?" : "&";
--- a/src/delivery/internal/header_rules.cc
+++ b/src/delivery/internal/header_rules.cc
@@ -11,10 +11,14 @@
 
 namespace {
 constexpr std::array<http::field, 9> kHopByHopFields = {
-    http::field::connection,          http::field::keep_alive,
-    http::field::proxy_connection,    http::field::te,
-    http::field::trailer,             http::field::transfer_encoding,
-    http::field::upgrade,             http::field::proxy_authenticate,
+    http::field::connection,
+    http::field::keep_alive,
+    http::field::proxy_connection,
+    http::field::te,
+    http::field::trailer,
+    http::field::transfer_encoding,
+    http::field::upgrade,
+    http::field::proxy_authenticate,
     http::field::expect};
 }  // namespace
 
--- a/src/delivery/internal/idempotency_table.cc
+++ b/src/delivery/internal/idempotency_table.cc
@@ -25,8 +25,7 @@
     return std::optional<KeyRecordEntry>(known->second);
   }
   if (entries_.size() >= kMaxEntries || bytes_ >= kMaxBytes) {
-    return NotRun(Errc::kQueueFull,
-                  "too many idempotency keys are remembered",
+    return NotRun(Errc::kQueueFull, "too many idempotency keys are remembered",
                   Milliseconds(10'000));
   }
   KeyRecordEntry entry;
--- a/src/delivery/internal/request_admitter.cc
+++ b/src/delivery/internal/request_admitter.cc
@@ -106,8 +106,8 @@
 Result<void> RequestAdmitter::FindRoute(const HttpExchange& exchange,
                                         const Url& url,
                                         RequestContext* context) const {
-  const std::string_view path = exchange.target().substr(
-      RequestHandler::kPathPrefix.size());
+  const std::string_view path =
+      exchange.target().substr(RequestHandler::kPathPrefix.size());
   const size_t name_end = path.find_first_of("/?");
   const std::string_view name = path.substr(0, name_end);
   context->service = context->document->FindService(name);
@@ -117,21 +117,19 @@
   }
   // The target sees the path as the caller wrote it, escapes included.
   const size_t raw_start = RequestHandler::kPathPrefix.size() + name.size();
-  const std::string_view raw =
-      exchange.target().substr(raw_start, exchange.target().find('?') -
-                                              raw_start);
+  const std::string_view raw = exchange.target().substr(
+      raw_start, exchange.target().find('?') - raw_start);
   context->target = raw.empty() ? "/" : std::string(raw);
   const std::string decoded = url.path.substr(raw_start);
   bool path_known = false;
   context->route = context->service->FindRoute(
       exchange.method(), decoded.empty() ? "/" : decoded, &path_known);
   if (context->route == nullptr) {
-    return path_known
-               ? NotRun(Errc::kMethodNotAllowed,
-                        "the route does not take this method")
-               : NotRun(Errc::kUnknownRoute,
-                        fmt::format("service \"{}\" has no route for it",
-                                    name));
+    return path_known ? NotRun(Errc::kMethodNotAllowed,
+                               "the route does not take this method")
+                      : NotRun(Errc::kUnknownRoute,
+                               fmt::format("service \"{}\" has no route for it",
+                                           name));
   }
   return boost::outcome_v2::success();
 }
--- a/src/delivery/internal/request_admitter.h
+++ b/src/delivery/internal/request_admitter.h
@@ -45,8 +45,7 @@
                            RequestContext* context) const;
   Result<void> CheckHop(const HttpExchange& exchange,
                         RequestContext* context) const;
-  void SetDeadline(const HttpExchange& exchange,
-                   RequestContext* context) const;
+  void SetDeadline(const HttpExchange& exchange, RequestContext* context) const;
 
   std::shared_ptr<Identity> identity_;
   std::shared_ptr<SteeringConfig> config_;
--- a/src/delivery/internal/request_carrier.cc
+++ b/src/delivery/internal/request_carrier.cc
@@ -96,8 +96,9 @@
       table_(Clock::now()),
       claims_(services_.store, services_.identity),
       random_(std::random_device{}()),
-      close_idle_(io, kCloseIdleInterval,
-                  [this]() { pool_.CloseIdle(Clock::now()); }) {}
+      close_idle_(io, kCloseIdleInterval, [this]() {
+        pool_.CloseIdle(Clock::now());
+      }) {}
 
 void RequestCarrier::Start() {
   close_idle_.Start();
@@ -141,8 +142,8 @@
   }
   RequestBody body(exchange, context.route->max_request_bytes);
   const bool keyed = context.runs_once() && !context.idempotency_key.empty();
-  const Result<void> read = body.Prefetch(
-      keyed ? kMaxKeyedBody : RequestBody::kPrefetch, yield);
+  const Result<void> read =
+      body.Prefetch(keyed ? kMaxKeyedBody : RequestBody::kPrefetch, yield);
   if (!read) {
     return read.error();
   }
@@ -152,18 +153,17 @@
 }
 
 Result<void> RequestCarrier::Deliver(Delivery& delivery, Yield yield) {
-  Failure last = NotRun(Errc::kNoTarget, "no region serves this now",
-                        Milliseconds(1000));
+  Failure last =
+      NotRun(Errc::kNoTarget, "no region serves this now", Milliseconds(1000));
   bool may_have_run = false;
   for (int attempt = 0; attempt < kMaxTries; ++attempt) {
     const std::optional<std::string> region = ChooseRegion(delivery);
     if (!region) {
       break;
     }
-    const Result<void> result =
-        *region == services_.identity->region
-            ? TryLocal(delivery, yield)
-            : TryRegion(delivery, *region, yield);
+    const Result<void> result = *region == services_.identity->region
+                                    ? TryLocal(delivery, yield)
+                                    : TryRegion(delivery, *region, yield);
     if (result) {
       return result;
     }
@@ -172,8 +172,9 @@
     if (!MayTryAgain(delivery, last)) {
       break;
     }
-    metrics_.Get("redwing_retries_total", "Further tries, in tries",
-                 {{"after", ErrcName(last.errc)}})
+    metrics_
+        .Get("redwing_retries_total", "Further tries, in tries",
+             {{"after", ErrcName(last.errc)}})
         .Add();
   }
   if (may_have_run && last.verdict == Verdict::kNotRun) {
@@ -184,8 +185,8 @@
 
 bool RequestCarrier::MayTryAgain(const Delivery& delivery,
                                  const Failure& failure) {
-  const bool safe = failure.verdict == Verdict::kNotRun ||
-                    delivery.context.route->idempotent;
+  const bool safe =
+      failure.verdict == Verdict::kNotRun || delivery.context.route->idempotent;
   if (!safe || !delivery.body.replayable() ||
       delivery.exchange.response_begun() || delivery.exchange.broken() ||
       Clock::now() >= delivery.context.deadline) {
@@ -235,13 +236,13 @@
   const std::string response_link = ResponseLink(context);
   const double response_estimate =
       std::min(kMaxLinkEstimate,
-               kHeaderBytes + static_cast<double>(
-                                  context.route->expected_response_bytes));
-  Result<void> admitted = Admit(RegionBudgetName(own), 1, Errc::kRegionFull,
-                                context, yield);
+               kHeaderBytes +
+                   static_cast<double>(context.route->expected_response_bytes));
+  Result<void> admitted =
+      Admit(RegionBudgetName(own), 1, Errc::kRegionFull, context, yield);
   if (admitted && !response_link.empty()) {
-    admitted = Admit(response_link, response_estimate, Errc::kLinkFull,
-                     context, yield);
+    admitted = Admit(response_link, response_estimate, Errc::kLinkFull, context,
+                     yield);
   }
   if (!admitted) {
     delivery.tried_regions.insert(own);
@@ -271,8 +272,7 @@
   plan.collect = delivery.collect;
   plan.response_link = response_link;
   plan.response_prepaid = response_estimate;
-  UpstreamAttempt attempt(pool_, *services_.budgets, metrics_,
-                          std::move(plan));
+  UpstreamAttempt attempt(pool_, *services_.budgets, metrics_, std::move(plan));
   const Result<void> result =
       attempt.Run(delivery.body, delivery.exchange, yield);
   lease.value().SetOutcome(OutcomeOf(result, attempt.cut()));
@@ -337,14 +337,12 @@
   token.workspace = context.workspace_name();
   token.key_id = context.key_id;
   token.request_id = context.request_id;
-  token.remaining_ms =
-      static_cast<uint32_t>(std::max<int64_t>(1, RemainingMs(context.deadline)));
+  token.remaining_ms = static_cast<uint32_t>(
+      std::max<int64_t>(1, RemainingMs(context.deadline)));
   token.owner_hop = owner_hop;
-  const std::string target =
-      fmt::format("{}{}{}", RequestHandler::kPathPrefix, context.service->name,
-                  context.target);
-  token.request_line =
-      fmt::format("{} {}", delivery.exchange.method(), target);
+  const std::string target = fmt::format("{}{}{}", RequestHandler::kPathPrefix,
+                                         context.service->name, context.target);
+  token.request_line = fmt::format("{} {}", delivery.exchange.method(), target);
   plan.endpoint = TcpEndpoint(member.http_address);
   plan.header = admitter_.TargetHeader(context, delivery.exchange);
   plan.header.target(target);
@@ -353,8 +351,7 @@
   plan.to_entry = true;
   plan.response_link = ResponseLink(context);
   plan.collect = delivery.collect;
-  UpstreamAttempt attempt(pool_, *services_.budgets, metrics_,
-                          std::move(plan));
+  UpstreamAttempt attempt(pool_, *services_.budgets, metrics_, std::move(plan));
   const Result<void> result =
       attempt.Run(delivery.body, delivery.exchange, yield);
   delivery.answer = std::move(attempt.answer());
@@ -384,8 +381,7 @@
   if (context.owner_hop) {
     return RunOwned(delivery, yield);
   }
-  const std::optional<BoundKey> bound =
-      ParseBoundKey(context.idempotency_key);
+  const std::optional<BoundKey> bound = ParseBoundKey(context.idempotency_key);
   std::string owner;
   if (bound) {
     owner = bound->process_id;
@@ -406,8 +402,7 @@
 Result<void> RequestCarrier::RunOwned(Delivery& delivery, Yield yield) {
   const RequestContext& context = delivery.context;
   const TimePoint now = Clock::now();
-  const std::optional<BoundKey> bound =
-      ParseBoundKey(context.idempotency_key);
+  const std::optional<BoundKey> bound = ParseBoundKey(context.idempotency_key);
   if (bound && (bound->process_id != services_.identity->process_id ||
                 !table_.Accepts(bound->epoch, now))) {
     return MayHaveRun(Errc::kIdempotencyOutcomeUnknown,
--- a/src/delivery/internal/request_carrier.h
+++ b/src/delivery/internal/request_carrier.h
@@ -9,13 +9,13 @@
 #include <string>
 #include <vector>
 
-#include "framework/http/connection_pool.h"
 #include "delivery/internal/hop_token.h"
 #include "delivery/internal/idempotency_claims.h"
 #include "delivery/internal/idempotency_table.h"
 #include "delivery/internal/request_admitter.h"
 #include "delivery/internal/retry_budget.h"
 #include "delivery/request_handler.h"
+#include "framework/http/connection_pool.h"
 #include "framework/kernel/periodic_task.h"
 #include "routing/target_lease.h"
 
--- a/src/delivery/internal/request_context.h
+++ b/src/delivery/internal/request_context.h
@@ -35,9 +35,7 @@
   std::string workspace_name() const {
     return workspace == nullptr ? "" : workspace->name;
   }
-  double weight() const {
-    return workspace == nullptr ? 1 : workspace->weight;
-  }
+  double weight() const { return workspace == nullptr ? 1 : workspace->weight; }
   // Returns whether to go on without touch to the rest of the fleet.
   bool allow_stale() const {
     return workspace == nullptr || workspace->serve_stale;
--- a/src/delivery/internal/upstream_attempt.cc
+++ b/src/delivery/internal/upstream_attempt.cc
@@ -13,8 +13,8 @@
 namespace redwing {
 
 namespace {
-constexpr size_t kPiece = 16 * 1024;          // bytes
-constexpr size_t kMaxRefusal = 64 * 1024;     // bytes
+constexpr size_t kPiece = 16 * 1024;       // bytes
+constexpr size_t kMaxRefusal = 64 * 1024;  // bytes
 constexpr size_t kAttemptIdBytes = 8;
 constexpr Milliseconds kBodyPause{10'000};
 constexpr Milliseconds kMaxBodyTime{600'000};
@@ -57,16 +57,16 @@
 Result<void> UpstreamAttempt::Send(RequestBody& body, Yield yield) {
   attempt_id_ = RandomHex(kAttemptIdBytes);
   plan_.header.set(BeastView(kAttemptField), attempt_id_);
-  Result<void> sent = connection_->BeginRequest(
-      std::move(plan_.header), body.held().data(), body.held().size(),
-      body.whole(), yield);
+  Result<void> sent =
+      connection_->BeginRequest(std::move(plan_.header), body.held().data(),
+                                body.held().size(), body.whole(), yield);
   bool last = body.whole();
   while (sent && !last) {
     const Result<std::string_view> piece = body.Next(yield);
     if (!piece) {
       connection_->Abort();
-      return Failure{piece.error().errc, Verdict::kMayHaveRun,
-                     piece.error().detail, {}};
+      return Failure{
+          piece.error().errc, Verdict::kMayHaveRun, piece.error().detail, {}};
     }
     last = piece.value().empty();
     if (!plan_.request_link.empty()) {
@@ -117,8 +117,10 @@
   }
   if (connection_->undelimited() && !connection_->body_done()) {
     connection_->Abort();
-    return Failure{Errc::kTargetBroken, Verdict::kRan,
-                   "the answer has neither length nor chunks", {}};
+    return Failure{Errc::kTargetBroken,
+                   Verdict::kRan,
+                   "the answer has neither length nor chunks",
+                   {}};
   }
   return boost::outcome_v2::success();
 }
@@ -155,8 +157,8 @@
   const Result<size_t> first =
       connection_->ReadBody(buffer.get(), kPiece, yield);
   if (!first) {
-    return Failure{Errc::kTargetBroken, Verdict::kRan,
-                   "the answer broke off", {}};
+    return Failure{
+        Errc::kTargetBroken, Verdict::kRan, "the answer broke off", {}};
   }
   exchange.BeginResponse(CallerHeader());
   StreamRest(exchange, {buffer.get(), first.value()}, yield);
@@ -172,8 +174,8 @@
     const Result<size_t> size =
         connection_->ReadBody(piece.data(), piece.size(), yield);
     if (!size) {
-      return Failure{Errc::kTargetBroken, Verdict::kRan,
-                     "the answer broke off", {}};
+      return Failure{
+          Errc::kTargetBroken, Verdict::kRan, "the answer broke off", {}};
     }
     if (size.value() == 0) {
       answer_ = std::move(answer);
@@ -204,8 +206,7 @@
     if (last) {
       return;
     }
-    connection_->ExpiresAt(
-        std::min<TimePoint>(end, Clock::now() + kBodyPause));
+    connection_->ExpiresAt(std::min<TimePoint>(end, Clock::now() + kBodyPause));
     const Result<size_t> size =
         connection_->ReadBody(buffer.get(), kPiece, yield);
     if (!size) {
--- a/src/delivery/internal/upstream_attempt.h
+++ b/src/delivery/internal/upstream_attempt.h
@@ -5,9 +5,9 @@
 #include <optional>
 #include <string>
 
-#include "framework/http/connection_pool.h"
 #include "delivery/internal/idempotency_table.h"
 #include "framework/errors/result.h"
+#include "framework/http/connection_pool.h"
 #include "framework/http/http_types.h"
 
 namespace redwing {
--- a/src/entry/internal/entry_handler.cc
+++ b/src/entry/internal/entry_handler.cc
@@ -42,9 +42,9 @@
          {"state", MemberStateName(member.state)},
          {"listed", member.listed},
          {"http_address", member.http_address},
-         {"heard_ms_ago", std::chrono::duration_cast<Milliseconds>(
-                              now - member.last_heard)
-                              .count()}});
+         {"heard_ms_ago",
+          std::chrono::duration_cast<Milliseconds>(now - member.last_heard)
+              .count()}});
   }
   return members;
 }
@@ -142,9 +142,7 @@
   return endpoints;
 }
 
-void EntryHandler::LookUp(HttpExchange& exchange,
-                          const Url& url,
-                          Yield yield) {
+void EntryHandler::LookUp(HttpExchange& exchange, const Url& url, Yield yield) {
   for (const QueryParameter& parameter : url.query) {
     if (parameter.name != "service" && parameter.name != "region") {
       SendRefusal(exchange,
@@ -156,22 +154,22 @@
   }
   const std::optional<std::string> service = url.Query("service");
   if (!service) {
-    SendRefusal(exchange,
-                NotRun(Errc::kMalformedRequest,
-                       "the parameter \"service\" is missing"),
-                yield);
+    SendRefusal(
+        exchange,
+        NotRun(Errc::kMalformedRequest, "the parameter \"service\" is missing"),
+        yield);
     return;
   }
   if (!services_.config->ready()) {
-    SendRefusal(exchange,
-                NotRun(Errc::kNotReady,
-                       "this instance has no configuration yet",
-                       Milliseconds(1000)),
-                yield);
+    SendRefusal(
+        exchange,
+        NotRun(Errc::kNotReady, "this instance has no configuration yet",
+               Milliseconds(1000)),
+        yield);
     return;
   }
-  const Result<std::string> answer = services_.lookup->LookUp(
-      *service, url.Query("region").value_or(""));
+  const Result<std::string> answer =
+      services_.lookup->LookUp(*service, url.Query("region").value_or(""));
   if (!answer) {
     SendRefusal(exchange, answer.error(), yield);
     return;
@@ -220,19 +218,18 @@
 void EntryHandler::Status(HttpExchange& exchange,
                           const Url& /*url*/,
                           Yield yield) {
-  const json status = {
-      {"instance", services_.identity->name},
-      {"region", services_.identity->region},
-      {"failure_domain", services_.identity->failure_domain},
-      {"process", services_.identity->process_id},
-      {"ready", services_.config->ready()},
-      {"fresh", services_.freshness->IsFresh(Clock::now())},
-      {"leaving", services_.membership->leaving()},
-      {"load_permille", services_.router->LoadPermille()},
-      {"revisions", services_.state->Revisions()},
-      {"members", MembersJson(*services_.membership)},
-      {"budgets", BudgetsJson(*services_.budgets)},
-      {"targets", TargetsJson(*services_.router)}};
+  const json status = {{"instance", services_.identity->name},
+                       {"region", services_.identity->region},
+                       {"failure_domain", services_.identity->failure_domain},
+                       {"process", services_.identity->process_id},
+                       {"ready", services_.config->ready()},
+                       {"fresh", services_.freshness->IsFresh(Clock::now())},
+                       {"leaving", services_.membership->leaving()},
+                       {"load_permille", services_.router->LoadPermille()},
+                       {"revisions", services_.state->Revisions()},
+                       {"members", MembersJson(*services_.membership)},
+                       {"budgets", BudgetsJson(*services_.budgets)},
+                       {"targets", TargetsJson(*services_.router)}};
   exchange.Respond(200, kJson, status.dump(), yield);
 }
 
--- a/src/entry/internal/entry_module.cc
+++ b/src/entry/internal/entry_module.cc
@@ -59,16 +59,15 @@
   limits.idle_timeout = settings_.idle_timeout;
   limits.header_timeout = settings_.header_timeout;
   limits.io_timeout = settings_.io_timeout;
-  server_ = std::make_unique<HttpServer>(
-      kernel.io(), *kernel.Find<SocketRegistry>(), *kernel.Find<Metrics>(),
-      *handler_, limits);
+  server_ =
+      std::make_unique<HttpServer>(kernel.io(), *kernel.Find<SocketRegistry>(),
+                                   *kernel.Find<Metrics>(), *handler_, limits);
   graceful_stop_ = std::make_unique<GracefulStop>(
       kernel.io(), *server_, settings_.lookup_ttl + kNoticeMargin,
       settings_.drain_limit, [&kernel]() { kernel.Stop(); });
 }
 
-void EntryModule::ResolveDependencies(Kernel& /*kernel*/) {
-}
+void EntryModule::ResolveDependencies(Kernel& /*kernel*/) {}
 
 void EntryModule::Start() {
   server_->Listen(TcpEndpoint(settings_.http_listen));
--- a/src/entry/internal/entry_settings.cc
+++ b/src/entry/internal/entry_settings.cc
@@ -48,10 +48,8 @@
   settings.seeds = reader.Strings("seeds");
   settings.fleet_secrets = reader.Strings("fleet_secrets");
   settings.log_level = reader.String("log_level", "info");
-  settings.budget_strategy =
-      reader.String("budget_strategy", "leased_shares");
-  settings.target_choice =
-      reader.String("target_choice", "least_outstanding");
+  settings.budget_strategy = reader.String("budget_strategy", "leased_shares");
+  settings.target_choice = reader.String("target_choice", "least_outstanding");
   for (const DurationField& field : kDurations) {
     settings.*field.member = Milliseconds(
         reader.Integer(field.name, field.min, kMaxMs, field.fallback));
--- a/src/framework/errors/result.h
+++ b/src/framework/errors/result.h
@@ -9,8 +9,8 @@
 
 // A value or the failure that prevented it. Reading the absent side aborts.
 template <typename T>
-using Result = boost::outcome_v2::
-    result<T, Failure, boost::outcome_v2::policy::terminate>;
+using Result =
+    boost::outcome_v2::result<T, Failure, boost::outcome_v2::policy::terminate>;
 
 }  // namespace redwing
 
--- a/src/framework/http/internal/core_module.cc
+++ b/src/framework/http/internal/core_module.cc
@@ -11,8 +11,7 @@
   const std::shared_ptr<SocketRegistry> sockets =
       std::make_shared<SocketRegistry>(kernel.io());
   if (!source_address_.empty()) {
-    sockets->SetSourceAddress(
-        boost::asio::ip::make_address(source_address_));
+    sockets->SetSourceAddress(boost::asio::ip::make_address(source_address_));
   }
   kernel.Register(sockets);
 }
--- a/src/framework/http/internal/graceful_stop.cc
+++ b/src/framework/http/internal/graceful_stop.cc
@@ -47,8 +47,7 @@
   if (server_.connection_count() > 0 && !over) {
     return;
   }
-  spdlog::info("graceful shutdown ends, {} requests cut",
-               server_.busy_count());
+  spdlog::info("graceful shutdown ends, {} requests cut", server_.busy_count());
   tick_.Stop();
   on_done_();
 }
--- a/src/framework/http/internal/header_check.cc
+++ b/src/framework/http/internal/header_check.cc
@@ -81,9 +81,9 @@
   if (codings > 1) {
     return "several Transfer-Encoding fields";
   }
-  if (codings == 1 && !boost::beast::iequals(
-                          header.at(http::field::transfer_encoding),
-                          "chunked")) {
+  if (codings == 1 &&
+      !boost::beast::iequals(header.at(http::field::transfer_encoding),
+                             "chunked")) {
     return "a transfer coding other than chunked";
   }
   if (codings == 1 && header.version() < 11) {
--- a/src/framework/http/internal/http_exchange.cc
+++ b/src/framework/http/internal/http_exchange.cc
@@ -71,11 +71,9 @@
   if (ec == http::error::body_limit) {
     return NotRun(Errc::kBodyTooLarge, "request body is too large");
   }
-  const bool malformed = ec.category() == make_error_code(
-                                              http::error::bad_chunk)
-                                              .category() &&
-                         ec != http::error::partial_message &&
-                         ec != http::error::end_of_stream;
+  const bool malformed =
+      ec.category() == make_error_code(http::error::bad_chunk).category() &&
+      ec != http::error::partial_message && ec != http::error::end_of_stream;
   return malformed ? NotRun(Errc::kMalformedRequest, ec.message())
                    : NotRun(Errc::kCallerGone, ec.message());
 }
@@ -122,10 +120,9 @@
   const unsigned status = header.result_int();
   const bool bodiless = status == 204 || status == 304;
   // HTTP/1.0 callers know no chunks: the end of the connection ends the body.
-  const bool chunked =
-      !has_length && !bodiless && request().version() >= 11;
-  keep_alive_ = keep_alive_ && parser_.is_done() &&
-                (has_length || chunked || bodiless);
+  const bool chunked = !has_length && !bodiless && request().version() >= 11;
+  keep_alive_ =
+      keep_alive_ && parser_.is_done() && (has_length || chunked || bodiless);
   response_.emplace(std::move(header));
   if (chunked) {
     response_->set(http::field::transfer_encoding, "chunked");
@@ -148,8 +145,8 @@
   }
   EndWatch();
   const unsigned status = response_->result_int();
-  const bool skip_body = request().method() == http::verb::head ||
-                         status == 204 || status == 304;
+  const bool skip_body =
+      request().method() == http::verb::head || status == 204 || status == 304;
   bool written = true;
   if (skip_body) {
     if (!serializer_->is_header_done()) {
@@ -217,8 +214,7 @@
 
 bool HttpExchange::SendContinue(Yield yield) {
   if (continue_sent_ || response_begun_ ||
-      !boost::beast::iequals(request()[http::field::expect],
-                             "100-continue")) {
+      !boost::beast::iequals(request()[http::field::expect], "100-continue")) {
     return true;
   }
   continue_sent_ = true;
--- a/src/framework/http/internal/http_server.cc
+++ b/src/framework/http/internal/http_server.cc
@@ -59,36 +59,37 @@
 }
 
 void HttpServer::Accept() {
-  acceptor_.async_accept([this](const boost::system::error_code& ec,
-                                tcp::socket socket) {
-    if (!acceptor_.is_open()) {
-      return;
-    }
-    if (ec) {
-      // Out of descriptors, most likely: give running work time to end.
-      auto timer = std::make_shared<boost::asio::steady_timer>(io_);
-      timer->expires_after(kAcceptRetry);
-      timer->async_wait(
-          [this, timer](const boost::system::error_code& timer_ec) {
-            if (!timer_ec && acceptor_.is_open()) {
-              Accept();
-            }
-          });
-      return;
-    }
-    metrics_
-        .Get("redwing_http_accepted_total", "Connections accepted, in connections")
-        .Add();
-    if (sessions_.size() < limits_.connections) {
-      boost::system::error_code ignored;
-      socket.set_option(tcp::no_delay(true), ignored);
-      const std::shared_ptr<HttpSession> session =
-          std::make_shared<HttpSession>(*this, std::move(socket));
-      boost::asio::spawn(
-          io_, [session](const Yield& yield) { session->Run(yield); });
-    }
-    Accept();
-  });
+  acceptor_.async_accept(
+      [this](const boost::system::error_code& ec, tcp::socket socket) {
+        if (!acceptor_.is_open()) {
+          return;
+        }
+        if (ec) {
+          // Out of descriptors, most likely: give running work time to end.
+          auto timer = std::make_shared<boost::asio::steady_timer>(io_);
+          timer->expires_after(kAcceptRetry);
+          timer->async_wait(
+              [this, timer](const boost::system::error_code& timer_ec) {
+                if (!timer_ec && acceptor_.is_open()) {
+                  Accept();
+                }
+              });
+          return;
+        }
+        metrics_
+            .Get("redwing_http_accepted_total",
+                 "Connections accepted, in connections")
+            .Add();
+        if (sessions_.size() < limits_.connections) {
+          boost::system::error_code ignored;
+          socket.set_option(tcp::no_delay(true), ignored);
+          const std::shared_ptr<HttpSession> session =
+              std::make_shared<HttpSession>(*this, std::move(socket));
+          boost::asio::spawn(
+              io_, [session](const Yield& yield) { session->Run(yield); });
+        }
+        Accept();
+      });
 }
 
 void HttpServer::Remove(HttpSession* session) {
--- a/src/framework/http/internal/http_session.cc
+++ b/src/framework/http/internal/http_session.cc
@@ -14,7 +14,7 @@
 
 namespace {
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
-constexpr size_t kReadSize = 4096;                  // bytes
+constexpr size_t kReadSize = 4096;  // bytes
 constexpr Milliseconds kLingerTime{1000};
 constexpr size_t kLingerBytes = 1024 * 1024;
 
@@ -74,8 +74,8 @@
                    ? 0
                    : buffer_.size() - kHeadEnd.size() + 1;
     boost::system::error_code ec;
-    const size_t size = socket_.socket().async_read_some(
-        buffer_.prepare(kReadSize), yield[ec]);
+    const size_t size =
+        socket_.socket().async_read_some(buffer_.prepare(kReadSize), yield[ec]);
     if (ec) {
       return 0;
     }
@@ -105,8 +105,8 @@
   parser.header_limit(server_.limits_.header_bytes);
   parser.body_limit(server_.limits_.body_bytes);
   boost::system::error_code ec;
-  const size_t used = parser.put(
-      boost::asio::buffer(buffer_.data().data(), head.value()), ec);
+  const size_t used =
+      parser.put(boost::asio::buffer(buffer_.data().data(), head.value()), ec);
   buffer_.consume(used);
   if (ec == http::error::body_limit) {
     Refuse(NotRun(Errc::kBodyTooLarge, "request body is too large"), yield);
@@ -161,8 +161,8 @@
   size_t total = 0;
   while (!ec && total < kLingerBytes) {
     buffer_.consume(buffer_.size());
-    total += socket_.socket().async_read_some(buffer_.prepare(kReadSize),
-                                              yield[ec]);
+    total +=
+        socket_.socket().async_read_some(buffer_.prepare(kReadSize), yield[ec]);
   }
 }
 
--- a/src/framework/http/internal/refusal.cc
+++ b/src/framework/http/internal/refusal.cc
@@ -14,8 +14,8 @@
 int64_t RetryAfterSeconds(const Failure& failure) {
   constexpr int64_t kMillisPerSecond = 1000;
   return std::max<int64_t>(
-      1, (failure.retry_after.count() + kMillisPerSecond - 1) /
-             kMillisPerSecond);
+      1,
+      (failure.retry_after.count() + kMillisPerSecond - 1) / kMillisPerSecond);
 }
 
 }  // namespace
--- a/src/framework/http/internal/url.cc
+++ b/src/framework/http/internal/url.cc
@@ -33,8 +33,9 @@
     const std::optional<std::string> name =
         PercentDecode(raw.substr(0, equals));
     const std::optional<std::string> value =
-        equals == std::string_view::npos ? std::string()
-                                         : PercentDecode(raw.substr(equals + 1));
+        equals == std::string_view::npos
+            ? std::string()
+            : PercentDecode(raw.substr(equals + 1));
     if (!name || !value) {
       return false;
     }
@@ -101,9 +102,9 @@
   for (const char c : text) {
     const bool unreserved = std::isalnum(static_cast<unsigned char>(c)) != 0 ||
                             c == '-' || c == '.' || c == '_' || c == '~';
-    encoded += unreserved ? std::string(1, c)
-                          : fmt::format("%{:02X}",
-                                        static_cast<unsigned char>(c));
+    encoded += unreserved
+                   ? std::string(1, c)
+                   : fmt::format("%{:02X}", static_cast<unsigned char>(c));
   }
   return encoded;
 }
--- a/src/framework/kernel/internal/kernel.cc
+++ b/src/framework/kernel/internal/kernel.cc
@@ -38,8 +38,7 @@
 }
 
 void Kernel::Run() {
-  const boost::asio::executor_work_guard<
-      boost::asio::io_context::executor_type>
+  const boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       guard = boost::asio::make_work_guard(io_);
   io_.run();
 }
--- a/src/framework/kernel/kernel.h
+++ b/src/framework/kernel/kernel.h
@@ -38,8 +38,7 @@
   // no module registered it.
   template <typename T>
   std::shared_ptr<T> Find() const {
-    return std::static_pointer_cast<T>(
-        FindService(T::kServiceName, typeid(T)));
+    return std::static_pointer_cast<T>(FindService(T::kServiceName, typeid(T)));
   }
 
   // Registers, resolves and starts all modules.
--- a/src/framework/metrics/internal/metrics.cc
+++ b/src/framework/metrics/internal/metrics.cc
@@ -41,10 +41,10 @@
                       MetricKind kind) {
   auto family = families_.find(name);
   if (family == families_.end()) {
-    family = families_
-                 .emplace(std::string(name),
-                          Family{std::string(help), kind, {}})
-                 .first;
+    family =
+        families_
+            .emplace(std::string(name), Family{std::string(help), kind, {}})
+            .first;
   }
   return family->second.series[RenderLabels(labels)];
 }
--- a/src/framework/peer/internal/peer_module.cc
+++ b/src/framework/peer/internal/peer_module.cc
@@ -17,8 +17,7 @@
   kernel.Register<PeerTransport>(transport_);
 }
 
-void PeerModule::ResolveDependencies(Kernel& /*kernel*/) {
-}
+void PeerModule::ResolveDependencies(Kernel& /*kernel*/) {}
 
 void PeerModule::Start() {
   transport_->Listen(UdpEndpoint(listen_));
--- a/src/framework/peer/internal/socket_peer_transport.cc
+++ b/src/framework/peer/internal/socket_peer_transport.cc
@@ -36,9 +36,8 @@
 Result<std::string> ReadFrame(TimedSocket& socket, Yield yield) {
   boost::system::error_code ec;
   uint32_t length = 0;
-  boost::asio::async_read(socket.socket(),
-                          boost::asio::buffer(&length, sizeof(length)),
-                          yield[ec]);
+  boost::asio::async_read(
+      socket.socket(), boost::asio::buffer(&length, sizeof(length)), yield[ec]);
   boost::endian::big_to_native_inplace(length);
   if (ec || length > EnvelopeCodec::kMaxBytes) {
     return NotRun(Errc::kPeerUnreachable, ec ? ec.message() : "oversized");
@@ -146,8 +145,9 @@
   if (!bytes) {
     return bytes.error();
   }
-  metrics_.Get("redwing_peer_call_bytes_total",
-               "Bytes of calls to peers and their replies")
+  metrics_
+      .Get("redwing_peer_call_bytes_total",
+           "Bytes of calls to peers and their replies")
       .Add(request.size() + bytes.value().size());
   const Result<Envelope> reply = codec_.Decode(bytes.value());
   if (!reply || reply.value().payload.compare(0, kNonceText, nonce) != 0) {
@@ -200,8 +200,7 @@
     CountDropped("own_name");
     return;
   }
-  if (!windows_[message.sender].Accept(message.incarnation,
-                                       message.sequence)) {
+  if (!windows_[message.sender].Accept(message.incarnation, message.sequence)) {
     CountDropped("replayed");
     return;
   }
--- a/src/framework/peer/peer_transport.h
+++ b/src/framework/peer/peer_transport.h
@@ -21,8 +21,9 @@
   static constexpr std::string_view kServiceName = "peer_transport";
 
   // Handles a datagram.
-  using DatagramHandler = std::function<void(
-      const Envelope& envelope, const boost::asio::ip::udp::endpoint& from)>;
+  using DatagramHandler =
+      std::function<void(const Envelope& envelope,
+                         const boost::asio::ip::udp::endpoint& from)>;
   // Answers a call with a payload.
   using CallHandler = std::function<std::string(const Envelope& envelope)>;
 
@@ -38,12 +39,11 @@
 
   // Calls a peer over TCP and returns the payload of its reply. A reply is
   // accepted only for this very call.
-  virtual Result<std::string> Call(
-      const boost::asio::ip::tcp::endpoint& to,
-      MessageKind kind,
-      const std::string& payload,
-      Milliseconds timeout,
-      Yield yield) = 0;
+  virtual Result<std::string> Call(const boost::asio::ip::tcp::endpoint& to,
+                                   MessageKind kind,
+                                   const std::string& payload,
+                                   Milliseconds timeout,
+                                   Yield yield) = 0;
 
   // Raises the own incarnation above one that a peer has seen.
   virtual void RaiseIncarnation(uint64_t seen) = 0;
--- a/src/framework/settings/internal/json_source.cc
+++ b/src/framework/settings/internal/json_source.cc
@@ -61,9 +61,7 @@
   bool null() override { return Value(); }
   bool boolean(bool /*value*/) override { return Value(); }
   bool number_integer(number_integer_t /*value*/) override { return Value(); }
-  bool number_unsigned(number_unsigned_t /*value*/) override {
-    return Value();
-  }
+  bool number_unsigned(number_unsigned_t /*value*/) override { return Value(); }
   bool number_float(number_float_t /*value*/,
                     const string_t& /*text*/) override {
     return Value();
@@ -79,8 +77,8 @@
     levels_.back().token = json::json_pointer::string_t(value);
     const bool fresh = lines_->emplace(Pointer(), *line_).second;
     if (!fresh) {
-      error_ = fmt::format("line {}: name \"{}\" is given twice", *line_,
-                           value);
+      error_ =
+          fmt::format("line {}: name \"{}\" is given twice", *line_, value);
     }
     return fresh;
   }
--- a/src/framework/settings/internal/object_reader.cc
+++ b/src/framework/settings/internal/object_reader.cc
@@ -74,10 +74,9 @@
   const bool present = Field(name, false) != nullptr;
   std::string text = String(name);
   if (present && !text.empty() && !ParseEndpoint(text)) {
-    Reject(name,
-           fmt::format("expected an address such as \"127.0.0.1:8080\", "
-                       "found \"{}\"",
-                       text));
+    Reject(name, fmt::format("expected an address such as \"127.0.0.1:8080\", "
+                             "found \"{}\"",
+                             text));
   }
   return text;
 }
@@ -92,9 +91,10 @@
   if (field == nullptr) {
     return min;
   }
-  const bool fits = field->is_number_integer() &&
-                    !(field->is_number_unsigned() &&
-                      field->get<uint64_t>() > static_cast<uint64_t>(INT64_MAX));
+  const bool fits =
+      field->is_number_integer() &&
+      !(field->is_number_unsigned() &&
+        field->get<uint64_t>() > static_cast<uint64_t>(INT64_MAX));
   const int64_t value = fits ? field->get<int64_t>() : 0;
   if (!fits || value < min || value > max) {
     Reject(name, fmt::format("expected a whole number from {} to {}, found {}",
@@ -243,11 +243,11 @@
 
 std::string NearestName(std::string_view name,
                         const std::set<std::string, std::less<>>& candidates) {
-  const auto nearest = std::min_element(
-      candidates.begin(), candidates.end(),
-      [name](const std::string& a, const std::string& b) {
-        return EditDistance(name, a) < EditDistance(name, b);
-      });
+  const auto nearest =
+      std::min_element(candidates.begin(), candidates.end(),
+                       [name](const std::string& a, const std::string& b) {
+                         return EditDistance(name, a) < EditDistance(name, b);
+                       });
   return nearest == candidates.end() ? "" : *nearest;
 }
 
--- a/src/framework/wire/internal/digest.cc
+++ b/src/framework/wire/internal/digest.cc
@@ -21,11 +21,10 @@
 
 Digest KeyedDigest(std::string_view secret, std::string_view text) {
   Digest digest{};
-  const size_t key_size = std::min<size_t>(secret.size(),
-                                           crypto_generichash_KEYBYTES_MAX);
+  const size_t key_size =
+      std::min<size_t>(secret.size(), crypto_generichash_KEYBYTES_MAX);
   crypto_generichash(digest.data(), digest.size(),
-                     reinterpret_cast<const uint8_t*>(text.data()),
-                     text.size(),
+                     reinterpret_cast<const uint8_t*>(text.data()), text.size(),
                      reinterpret_cast<const uint8_t*>(secret.data()), key_size);
   return digest;
 }
--- a/src/keys/internal/api_key.cc
+++ b/src/keys/internal/api_key.cc
@@ -35,8 +35,7 @@
   }
   const std::string_view id = text.substr(kPrefix.size(), kIdBytes * 2);
   const std::string_view secret = text.substr(kLength - kSecretBytes * 2);
-  if (text[kPrefix.size() + id.size()] != '_' || !IsHex(id) ||
-      !IsHex(secret)) {
+  if (text[kPrefix.size() + id.size()] != '_' || !IsHex(id) || !IsHex(secret)) {
     return std::nullopt;
   }
   return ApiKey{std::string(id), std::string(secret)};
--- a/src/load/internal/load_generator.cc
+++ b/src/load/internal/load_generator.cc
@@ -135,17 +135,15 @@
     return entries;
   }
   const CallerGroup& group = plan_.groups[arrival.group];
-  CachedLookup& cached =
-      lookups_[group.name + "/" + arrival.request->service];
-  for (size_t i = 0;
-       Clock::now() >= cached.until && i < plan_.entries.size(); ++i) {
+  CachedLookup& cached = lookups_[group.name + "/" + arrival.request->service];
+  for (size_t i = 0; Clock::now() >= cached.until && i < plan_.entries.size();
+       ++i) {
     HttpCall call;
-    call.endpoint = TcpEndpoint(
-        plan_.entries[next_bootstrap_++ % plan_.entries.size()]);
-    call.target = fmt::format("/v1/entry?service={}{}{}",
-                              arrival.request->service,
-                              group.region.empty() ? "" : "&region=",
-                              group.region);
+    call.endpoint =
+        TcpEndpoint(plan_.entries[next_bootstrap_++ % plan_.entries.size()]);
+    call.target =
+        fmt::format("/v1/entry?service={}{}{}", arrival.request->service,
+                    group.region.empty() ? "" : "&region=", group.region);
     call.timeout = kLookupTimeout;
     const Result<HttpReply> reply = client_.Call(call, yield);
     if (!reply || reply.value().status != 200) {
@@ -179,9 +177,9 @@
   }
   const ConnectionPool::ConnectionPtr& connection = acquired.value();
   const std::string body(arrival.request->body_bytes, 'q');
-  Result<void> result = connection->BeginRequest(
-      HeaderOf(arrival, entry, idempotency_key), body.data(), body.size(),
-      true, yield);
+  Result<void> result =
+      connection->BeginRequest(HeaderOf(arrival, entry, idempotency_key),
+                               body.data(), body.size(), true, yield);
   if (result) {
     result = connection->ReadHeader(yield);
   }
@@ -215,8 +213,8 @@
   end->error = ErrcName(failure.errc);
   end->verdict = failure.verdict;
   // Over the rate is final; a place that cannot serve is worth another one.
-  const bool elsewhere = failure.verdict == Verdict::kNotRun &&
-                         header.result_int() == 503;
+  const bool elsewhere =
+      failure.verdict == Verdict::kNotRun && header.result_int() == 503;
   const bool in_progress = failure.errc == Errc::kIdempotencyInProgress;
   return elsewhere || in_progress;
 }
@@ -247,8 +245,7 @@
     header.set("Idempotency-Key", idempotency_key);
   }
   if (request.body_bytes > 0 || request.method == "POST") {
-    header.set(http::field::content_length,
-               std::to_string(request.body_bytes));
+    header.set(http::field::content_length, std::to_string(request.body_bytes));
   }
   return header;
 }
--- a/src/load/internal/load_report.cc
+++ b/src/load/internal/load_report.cc
@@ -15,8 +15,8 @@
   if (sorted.empty()) {
     return 0;
   }
-  const size_t index = static_cast<size_t>(
-      part * static_cast<double>(sorted.size() - 1) + 0.5);
+  const size_t index =
+      static_cast<size_t>(part * static_cast<double>(sorted.size() - 1) + 0.5);
   return sorted[index];
 }
 
@@ -42,8 +42,8 @@
     lost += is_lost ? 1 : 0;
     false_not_run += is_false ? 1 : 0;
     if ((is_doubled || is_lost || is_false) && examples.size() < 10) {
-      examples.push_back({end.token, end.error, VerdictName(end.verdict),
-                          count});
+      examples.push_back(
+          {end.token, end.error, VerdictName(end.verdict), count});
     }
   }
   int keys_seen = 0;
@@ -51,9 +51,12 @@
     keys_seen += run.at(4).get<bool>() ? 1 : 0;
   }
   joined_ = true;
-  join_ = {{"runs", runs.size()},       {"doubled", doubled},
-           {"lost", lost},              {"false_not_run", false_not_run},
-           {"keys_seen_by_targets", keys_seen}, {"examples", examples}};
+  join_ = {{"runs", runs.size()},
+           {"doubled", doubled},
+           {"lost", lost},
+           {"false_not_run", false_not_run},
+           {"keys_seen_by_targets", keys_seen},
+           {"examples", examples}};
 }
 
 json LoadReport::ToJson() const {
@@ -73,9 +76,9 @@
 
 std::string LoadReport::Table() const {
   const json report = ToJson();
-  std::string text = fmt::format(
-      "{:<24}{:>9}{:>9}{:>9}{:>9}{:>9}{:>9}{:>9}\n", "group", "sent", "ok",
-      "refused", "p50 ms", "p99 ms", "p99.9 ms", "max ms");
+  std::string text = fmt::format("{:<24}{:>9}{:>9}{:>9}{:>9}{:>9}{:>9}{:>9}\n",
+                                 "group", "sent", "ok", "refused", "p50 ms",
+                                 "p99 ms", "p99.9 ms", "max ms");
   const auto row = [&text](const std::string& name, const json& s) {
     text += fmt::format(
         "{:<24}{:>9}{:>9}{:>9}{:>9.1f}{:>9.1f}{:>9.1f}{:>9.1f}\n", name,
--- a/src/membership/internal/heartbeat_membership.cc
+++ b/src/membership/internal/heartbeat_membership.cc
@@ -129,8 +129,7 @@
   }
 }
 
-void HeartbeatMembership::SendBeat(Heartbeat& heartbeat,
-                                   const Member& member) {
+void HeartbeatMembership::SendBeat(Heartbeat& heartbeat, const Member& member) {
   heartbeat.echoed_beat = member.beat_to_echo;
   heartbeat.incarnation_seen = member.incarnation_seen;
   transport_->Send(UdpEndpoint(member.peer_address), MessageKind::kHeartbeat,
--- a/src/membership/membership_module.h
+++ b/src/membership/membership_module.h
@@ -5,9 +5,9 @@
 #include <string>
 #include <vector>
 
+#include "framework/kernel/module.h"
 #include "membership/identity.h"
 #include "membership/membership.h"
-#include "framework/kernel/module.h"
 
 namespace redwing {
 
--- a/src/platform/internal/kubernetes_platform.cc
+++ b/src/platform/internal/kubernetes_platform.cc
@@ -158,8 +158,7 @@
 
 Result<ObjectList> KubernetesPlatform::List(const std::string& kind,
                                             Yield yield) {
-  const Result<json> answer =
-      Call(http::verb::get, KindPath(kind), {}, yield);
+  const Result<json> answer = Call(http::verb::get, KindPath(kind), {}, yield);
   if (!answer) {
     return answer.error();
   }
@@ -177,8 +176,8 @@
 
 Result<StoredObject> KubernetesPlatform::Create(const StoredObject& object,
                                                 Yield yield) {
-  const Result<json> answer = Call(http::verb::post, KindPath(object.kind),
-                                   ToJson(object), yield);
+  const Result<json> answer =
+      Call(http::verb::post, KindPath(object.kind), ToJson(object), yield);
   if (!answer) {
     return answer.error();
   }
@@ -215,8 +214,9 @@
   if (!connected) {
     return connected.error();
   }
-  metrics_.Get("redwing_store_calls_total", "Calls of the store, in calls",
-               {{"call", "watch"}})
+  metrics_
+      .Get("redwing_store_calls_total", "Calls of the store, in calls",
+           {{"call", "watch"}})
       .Add();
   connection.ExpiresAt(Clock::now() + kWatchLength + kWatchGrace);
   RequestHeader header;
@@ -264,8 +264,8 @@
   }
   try {
     InstanceList list;
-    list.version = VersionNumber(
-        answer.value().at("metadata").at("resourceVersion"));
+    list.version =
+        VersionNumber(answer.value().at("metadata").at("resourceVersion"));
     for (const json& slice : answer.value().at("items")) {
       for (const json& endpoint : slice.at("endpoints")) {
         list.instances.push_back(ListedFromSlice(slice, endpoint));
@@ -288,13 +288,16 @@
   call.body = body.is_null() ? "" : body.dump();
   call.timeout = timeout_;
   const std::string method_name(StdView(http::to_string(method)));
-  metrics_.Get("redwing_store_calls_total", "Calls of the store, in calls",
-               {{"call", method_name}})
+  metrics_
+      .Get("redwing_store_calls_total", "Calls of the store, in calls",
+           {{"call", method_name}})
       .Add();
   const Result<HttpReply> reply = client_.Call(call, yield);
   if (!reply) {
-    return Failure{Errc::kStoreUnavailable, reply.error().verdict,
-                   reply.error().detail, {}};
+    return Failure{Errc::kStoreUnavailable,
+                   reply.error().verdict,
+                   reply.error().detail,
+                   {}};
   }
   const unsigned status = reply.value().status;
   if (status == 404) {
--- a/src/platform/internal/kubernetes_platform.h
+++ b/src/platform/internal/kubernetes_platform.h
@@ -26,10 +26,8 @@
                            const std::string& name,
                            Yield yield) override;
   Result<ObjectList> List(const std::string& kind, Yield yield) override;
-  Result<StoredObject> Create(const StoredObject& object,
-                              Yield yield) override;
-  Result<StoredObject> Update(const StoredObject& object,
-                              Yield yield) override;
+  Result<StoredObject> Create(const StoredObject& object, Yield yield) override;
+  Result<StoredObject> Update(const StoredObject& object, Yield yield) override;
   Failure Watch(const std::string& kind,
                 const std::string& version,
                 const std::function<void(const StoredObject&)>& on_object,
--- a/src/platform/internal/platform_module.cc
+++ b/src/platform/internal/platform_module.cc
@@ -13,13 +13,12 @@
 void PlatformModule::RegisterServices(Kernel& kernel) {
   const std::shared_ptr<KubernetesPlatform> platform =
       std::make_shared<KubernetesPlatform>(
-          kernel.io(), *kernel.Find<SocketRegistry>(),
-          *kernel.Find<Metrics>(), TcpEndpoint(address_), timeout_);
+          kernel.io(), *kernel.Find<SocketRegistry>(), *kernel.Find<Metrics>(),
+          TcpEndpoint(address_), timeout_);
   kernel.Register<ObjectStore>(platform);
   kernel.Register<InstanceDirectory>(platform);
 }
 
-void PlatformModule::ResolveDependencies(Kernel& /*kernel*/) {
-}
+void PlatformModule::ResolveDependencies(Kernel& /*kernel*/) {}
 
 }  // namespace redwing
--- a/src/platform/object_store.h
+++ b/src/platform/object_store.h
@@ -38,10 +38,11 @@
   virtual Result<StoredObject> Update(const StoredObject& object,
                                       Yield yield) = 0;
   // Calls `on_object` for every change after a version, until the watch ends.
-  virtual Failure Watch(const std::string& kind,
-                        const std::string& version,
-                        const std::function<void(const StoredObject&)>& on_object,
-                        Yield yield) = 0;
+  virtual Failure Watch(
+      const std::string& kind,
+      const std::string& version,
+      const std::function<void(const StoredObject&)>& on_object,
+      Yield yield) = 0;
 };
 
 }  // namespace redwing
--- a/src/platform/platform_module.h
+++ b/src/platform/platform_module.h
@@ -9,7 +9,6 @@
 
 namespace redwing {
 
-
 // The platform's object store and list of instances.
 class PlatformModule : public Module {
  public:
--- a/src/routing/internal/key_prefix.cc
+++ b/src/routing/internal/key_prefix.cc
@@ -22,10 +22,9 @@
     return std::nullopt;
   }
   const std::string_view process_id = key.substr(0, kProcessIdLength);
-  const bool hex =
-      std::all_of(process_id.begin(), process_id.end(), [](char c) {
-        return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
-      });
+  const bool hex = std::all_of(
+      process_id.begin(), process_id.end(),
+      [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); });
   BoundKey bound{std::string(process_id), 0};
   const char* const begin = key.data() + kProcessIdLength + 1;
   const char* const end = key.data() + dash;
--- a/src/routing/internal/local_target_router.cc
+++ b/src/routing/internal/local_target_router.cc
@@ -73,8 +73,7 @@
                                                    Yield yield) {
   const auto found = pools_.find(request.service);
   if (found == pools_.end() || !HasUsableTarget(request.service)) {
-    return NotRun(Errc::kNoTarget, "no target takes work",
-                  Milliseconds(1000));
+    return NotRun(Errc::kNoTarget, "no target takes work", Milliseconds(1000));
   }
   Pool& pool = found->second;
   const TimePoint now = Clock::now();
@@ -132,8 +131,7 @@
   if (slots == 0) {
     return 0;
   }
-  return static_cast<uint16_t>(
-      std::min(kFullLoad, kFullLoad * work / slots));
+  return static_cast<uint16_t>(std::min(kFullLoad, kFullLoad * work / slots));
 }
 
 std::vector<std::string> LocalTargetRouter::RegionsOf(
@@ -173,18 +171,18 @@
     }
   }
   for (const auto& [name, service] : document->services()) {
-    Pool& pool = pools_.try_emplace(name, options_.queue_per_workspace)
-                     .first->second;
+    Pool& pool =
+        pools_.try_emplace(name, options_.queue_per_workspace).first->second;
     for (const Target& target : service.targets) {
       if (target.region != identity_->region) {
         continue;
       }
-      const auto known = std::find_if(
-          pool.targets.begin(), pool.targets.end(),
-          [&target](const StatePtr& state) {
-            return state->target().name == target.name &&
-                   state->target().address == target.address;
-          });
+      const auto known =
+          std::find_if(pool.targets.begin(), pool.targets.end(),
+                       [&target](const StatePtr& state) {
+                         return state->target().name == target.name &&
+                                state->target().address == target.address;
+                       });
       StatePtr state;
       if (known == pool.targets.end()) {
         state = std::make_shared<TargetState>(target, now);
@@ -202,8 +200,7 @@
                              service.targets.begin(), service.targets.end(),
                              [&state](const Target& target) {
                                return target.name == state->target().name &&
-                                      target.address ==
-                                          state->target().address;
+                                      target.address == state->target().address;
                              });
                        }),
         pool.targets.end());
@@ -220,8 +217,7 @@
   const std::vector<ListedInstance>& listed = config_->listing().instances;
   return std::any_of(listed.begin(), listed.end(),
                      [&target](const ListedInstance& instance) {
-                       return instance.leaving &&
-                              instance.name == target.name;
+                       return instance.leaving && instance.name == target.name;
                      });
 }
 
@@ -233,14 +229,14 @@
   const TimePoint now = Clock::now();
   for (auto& [name, pool] : pools_) {
     for (const StatePtr& state : pool.targets) {
-      const auto work = std::find_if(
-          heartbeat.work.begin(), heartbeat.work.end(),
-          [&state](const TargetWork& w) {
-            return w.target_hash == state->hash();
-          });
-      state->SetPeerWork(
-          member.name, work == heartbeat.work.end() ? 0 : work->outstanding,
-          now);
+      const auto work =
+          std::find_if(heartbeat.work.begin(), heartbeat.work.end(),
+                       [&state](const TargetWork& w) {
+                         return w.target_hash == state->hash();
+                       });
+      state->SetPeerWork(member.name,
+                         work == heartbeat.work.end() ? 0 : work->outstanding,
+                         now);
     }
   }
 }
@@ -301,9 +297,9 @@
 void LocalTargetRouter::MaybeEject(Pool& pool,
                                    const StatePtr& state,
                                    TimePoint now) {
-  const auto ejected = std::count_if(
-      pool.targets.begin(), pool.targets.end(),
-      [now](const StatePtr& s) { return s->Ejected(now); });
+  const auto ejected =
+      std::count_if(pool.targets.begin(), pool.targets.end(),
+                    [now](const StatePtr& s) { return s->Ejected(now); });
   const double allowed =
       options_.max_ejected_part * static_cast<double>(pool.targets.size());
   if (static_cast<double>(ejected + 1) > allowed) {
@@ -311,8 +307,9 @@
   }
   state->Eject(now);
   spdlog::warn("target {} is ejected", state->target().name);
-  metrics_.Get("redwing_target_ejections_total", "Ejections of targets",
-               {{"target", state->target().name}})
+  metrics_
+      .Get("redwing_target_ejections_total", "Ejections of targets",
+           {{"target", state->target().name}})
       .Add();
 }
 
@@ -340,9 +337,8 @@
 void LocalTargetRouter::PollHealth() {
   for (const auto& [name, pool] : pools_) {
     for (const StatePtr& state : pool.targets) {
-      boost::asio::spawn(io_, [this, state](const Yield& yield) {
-        PollTarget(state, yield);
-      });
+      boost::asio::spawn(
+          io_, [this, state](const Yield& yield) { PollTarget(state, yield); });
     }
   }
 }
@@ -358,10 +354,9 @@
     // believed. Failures of requests decide on ejection.
     return;
   }
-  const nlohmann::json body = nlohmann::json::parse(
-      reply.value().body, nullptr, /*allow_exceptions=*/false);
-  state->SetLeaving(body.is_object() &&
-                    body.value("status", "") == "leaving");
+  const nlohmann::json body = nlohmann::json::parse(reply.value().body, nullptr,
+                                                    /*allow_exceptions=*/false);
+  state->SetLeaving(body.is_object() && body.value("status", "") == "leaving");
 }
 
 }  // namespace redwing
--- a/src/routing/internal/target_lease.cc
+++ b/src/routing/internal/target_lease.cc
@@ -2,8 +2,7 @@
 
 namespace redwing {
 
-TargetLease::TargetLease(std::shared_ptr<TargetState> state,
-                         EndFunction on_end)
+TargetLease::TargetLease(std::shared_ptr<TargetState> state, EndFunction on_end)
     : state_(std::move(state)),
       on_end_(std::move(on_end)),
       begun_(Clock::now()) {}
--- a/src/routing/internal/weighted_lookup.cc
+++ b/src/routing/internal/weighted_lookup.cc
@@ -36,11 +36,10 @@
                             std::shared_ptr<SteeringConfig> config) {
   membership_ = std::move(membership);
   config_ = std::move(config);
-  membership_->AddBeatSource(
-      [this](Heartbeat& heartbeat) {
-        heartbeat.load_permille = load_();
-        heartbeat.key_epoch = epoch_();
-      });
+  membership_->AddBeatSource([this](Heartbeat& heartbeat) {
+    heartbeat.load_permille = load_();
+    heartbeat.key_epoch = epoch_();
+  });
   membership_->on_heartbeat().Subscribe(
       [this](const Member& member, const Heartbeat& heartbeat) {
         peer_loads_[member.name] = heartbeat.load_permille;
@@ -122,8 +121,7 @@
            drains.failure_domains.count(failure_domain) > 0;
   };
   if (!membership_->leaving() &&
-      !drained(identity_->name, identity_->region,
-               identity_->failure_domain)) {
+      !drained(identity_->name, identity_->region, identity_->failure_domain)) {
     candidates.push_back({identity_->name, identity_->region,
                           identity_->http_address,
                           KeyPrefix(identity_->process_id, epoch_()),
--- a/src/routing/internal/weighted_lookup.h
+++ b/src/routing/internal/weighted_lookup.h
@@ -74,9 +74,9 @@
   std::map<std::string, double> weights_;
   std::vector<Candidate> candidates_;
   // By service and region; filled on demand, emptied by Refresh().
-  std::map<std::string, std::map<std::string, Answers, std::less<>>,
-           std::less<>>
-      answers_;
+  std::
+      map<std::string, std::map<std::string, Answers, std::less<>>, std::less<>>
+          answers_;
   std::mt19937_64 random_;
   PeriodicTask refresh_;
 };
--- a/src/steering/internal/section_parser.cc
+++ b/src/steering/internal/section_parser.cc
@@ -2,8 +2,8 @@
 
 #include <fmt/format.h>
 
-#include <array>
 #include <algorithm>
+#include <array>
 
 namespace redwing {
 
@@ -14,9 +14,8 @@
 constexpr int64_t kMaxBodyBytes = 64LL * 1024 * 1024;
 constexpr int64_t kMaxTimeoutMs = 600'000;
 constexpr size_t kMaxNameLength = 63;
-constexpr std::array<std::string_view, 6> kMethods = {"GET",    "HEAD",
-                                                      "POST",   "PUT",
-                                                      "DELETE", "PATCH"};
+constexpr std::array<std::string_view, 6> kMethods = {"GET", "HEAD",   "POST",
+                                                      "PUT", "DELETE", "PATCH"};
 
 std::string ReadName(ObjectReader& reader, std::string_view field) {
   std::string name = reader.String(field);
@@ -26,10 +25,9 @@
         return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
       });
   if (!valid) {
-    reader.Reject(field,
-                  fmt::format("expected at most {} of a-z, 0-9 and '-', "
-                              "found \"{}\"",
-                              kMaxNameLength, name));
+    reader.Reject(field, fmt::format("expected at most {} of a-z, 0-9 and '-', "
+                                     "found \"{}\"",
+                                     kMaxNameLength, name));
   }
   return name;
 }
@@ -82,8 +80,7 @@
     reader.Reject("methods", "expected at least one method");
   }
   for (const std::string& method : route.methods) {
-    if (std::find(kMethods.begin(), kMethods.end(), method) ==
-        kMethods.end()) {
+    if (std::find(kMethods.begin(), kMethods.end(), method) == kMethods.end()) {
       reader.Reject("methods", fmt::format("unknown method \"{}\"", method));
     }
   }
@@ -157,10 +154,10 @@
   Problems problems(source);
   ObjectReader reader(source.root(), "", problems);
   std::vector<Section> sections;
-  reader.NamedObjects("sections", [&](const std::string& name,
-                                      ObjectReader& item) {
-    sections.push_back(ReadSection(name, item));
-  });
+  reader.NamedObjects("sections",
+                      [&](const std::string& name, ObjectReader& item) {
+                        sections.push_back(ReadSection(name, item));
+                      });
   reader.Finish();
   if (problems.empty() && sections.empty()) {
     problems.Add("", "\"sections\" is missing or empty");
--- a/src/steering/internal/steering_document.cc
+++ b/src/steering/internal/steering_document.cc
@@ -34,7 +34,8 @@
   }
 
  private:
-  void Add(std::string_view what, std::string_view name,
+  void Add(std::string_view what,
+           std::string_view name,
            std::string_view problem) {
     problems_.push_back(fmt::format("section \"{}\": {} \"{}\": {}", section_,
                                     what, name, problem));
@@ -177,9 +178,8 @@
 const Link* SteeringDocument::FindLink(std::string_view from,
                                        std::string_view to) const {
   const auto link =
-      std::find_if(links_.begin(), links_.end(), [&](const Link& l) {
-        return l.from == from && l.to == to;
-      });
+      std::find_if(links_.begin(), links_.end(),
+                   [&](const Link& l) { return l.from == from && l.to == to; });
   return link == links_.end() ? nullptr : &*link;
 }
 
--- a/src/steering/internal/workspace.cc
+++ b/src/steering/internal/workspace.cc
@@ -9,8 +9,8 @@
   return std::any_of(
       may_call.begin(), may_call.end(), [&](std::string_view entry) {
         const size_t slash = entry.find('/');
-        const bool route_allowed = slash == std::string_view::npos ||
-                                   entry.substr(slash + 1) == route;
+        const bool route_allowed =
+            slash == std::string_view::npos || entry.substr(slash + 1) == route;
         return entry.substr(0, slash) == service && route_allowed;
       });
 }
--- a/testing/demo/demo.cc
+++ b/testing/demo/demo.cc
@@ -34,8 +34,7 @@
   const std::map<std::string, json> kinds = {
       {"lookup-svc", RequestKind("lookup-svc", "GET", "/tags/1", false, 0)},
       {"lookup-svc/tag", RequestKind("lookup-svc", "GET", "/tags/1", false, 0)},
-      {"ledger-svc",
-       RequestKind("ledger-svc", "POST", "/transfers", true, 0)},
+      {"ledger-svc", RequestKind("ledger-svc", "POST", "/transfers", true, 0)},
       {"history-svc",
        RequestKind("history-svc", "GET", "/seasons/1", false, 65536)}};
   json groups = json::array();
@@ -48,12 +47,12 @@
       requests.push_back(kinds.at(service));
     }
     for (const FleetRegion& region : plan.regions) {
-      groups.push_back({{"name", name + "@" + region.name},
-                        {"key", key},
-                        {"region", region.name},
-                        {"rate_per_s", workspace.at("rate_per_s").get<double>() *
-                                           part / 3},
-                        {"requests", requests}});
+      groups.push_back(
+          {{"name", name + "@" + region.name},
+           {"key", key},
+           {"region", region.name},
+           {"rate_per_s", workspace.at("rate_per_s").get<double>() * part / 3},
+           {"requests", requests}});
     }
   }
   return groups;
--- a/testing/fake_platform/fake_platform.cc
+++ b/testing/fake_platform/fake_platform.cc
@@ -47,23 +47,22 @@
 json SliceOf(const json& body) {
   const std::string http = body.value("http", "127.0.0.1:0");
   const bool leaving = body.value("leaving", false);
-  return {
-      {"metadata",
-       {{"name", body.at("name")},
-        {"labels",
-         {{"kubernetes.io/service-name", body.value("service", "")},
-          {"topology.kubernetes.io/region", body.value("region", "")}}}}},
-      {"ports",
-       {{{"name", "http"}, {"port", PortOf(body, "http")}},
-        {{"name", "peer"}, {"port", PortOf(body, "peer")}}}},
-      {"endpoints",
-       {{{"hostname", body.at("name")},
-         {"addresses", {TcpEndpoint(http).address().to_string()}},
-         {"zone", body.value("failure_domain", "")},
-         {"conditions",
-          {{"ready", !leaving},
-           {"serving", true},
-           {"terminating", leaving}}}}}}};
+  return {{"metadata",
+           {{"name", body.at("name")},
+            {"labels",
+             {{"kubernetes.io/service-name", body.value("service", "")},
+              {"topology.kubernetes.io/region", body.value("region", "")}}}}},
+          {"ports",
+           {{{"name", "http"}, {"port", PortOf(body, "http")}},
+            {{"name", "peer"}, {"port", PortOf(body, "peer")}}}},
+          {"endpoints",
+           {{{"hostname", body.at("name")},
+             {"addresses", {TcpEndpoint(http).address().to_string()}},
+             {"zone", body.value("failure_domain", "")},
+             {"conditions",
+              {{"ready", !leaving},
+               {"serving", true},
+               {"terminating", leaving}}}}}}};
 }
 
 }  // namespace
@@ -74,8 +73,8 @@
       server_(kernel.io(), sockets_, metrics_, *this, Limits()),
       listen_(settings.Endpoint("listen")),
       list_lag_(settings.Integer("list_lag_ms", 0, 600'000, 0)),
-      random_(static_cast<uint64_t>(
-          settings.Integer("seed", 0, INT64_MAX, 1))) {}
+      random_(
+          static_cast<uint64_t>(settings.Integer("seed", 0, INT64_MAX, 1))) {}
 
 void FakePlatform::Listen() {
   server_.Listen(TcpEndpoint(listen_));
@@ -206,8 +205,8 @@
                                 const Url& url,
                                 Yield yield) {
   uint64_t seen = Number(url.Query("resourceVersion").value_or("0"));
-  const Milliseconds length(
-      1000 * Number(url.Query("timeoutSeconds").value_or("30")));
+  const Milliseconds length(1000 *
+                            Number(url.Query("timeoutSeconds").value_or("30")));
   ResponseHeader header;
   header.result(200);
   header.set(http::field::content_type, "application/json");
@@ -250,8 +249,7 @@
   if (!create && known == objects.end()) {
     return {404, StatusObject(404, "NotFound")};
   }
-  const std::string expected =
-      value["metadata"].value("resourceVersion", "");
+  const std::string expected = value["metadata"].value("resourceVersion", "");
   if (!create && expected != std::to_string(known->second.version)) {
     return {409, StatusObject(409, "Conflict")};
   }
--- a/testing/fake_target/fake_target.cc
+++ b/testing/fake_target/fake_target.cc
@@ -67,14 +67,13 @@
 FakeTargets::FakeTargets(Kernel& kernel, ObjectReader& settings)
     : kernel_(kernel),
       sockets_(kernel.io()),
-      random_(
-          static_cast<uint64_t>(settings.Integer("seed", 0, INT64_MAX, 1))),
+      random_(static_cast<uint64_t>(settings.Integer("seed", 0, INT64_MAX, 1))),
       started_(Clock::now()) {
   settings.Objects("targets", [this](ObjectReader& item) {
     const std::string name = item.String("name");
     const std::string listen = item.Endpoint("listen");
-    sites_.push_back(std::make_unique<FakeTargetSite>(
-        *this, name, listen, ReadBehaviour(item)));
+    sites_.push_back(std::make_unique<FakeTargetSite>(*this, name, listen,
+                                                      ReadBehaviour(item)));
   });
 }
 
@@ -179,9 +178,9 @@
     return;
   }
   TargetRun run;
-  run.at_us = std::chrono::duration_cast<Microseconds>(Clock::now() -
-                                                       owner_.started())
-                  .count();
+  run.at_us =
+      std::chrono::duration_cast<Microseconds>(Clock::now() - owner_.started())
+          .count();
   run.target = name_;
   run.token = exchange.Header("X-Token");
   run.workspace = exchange.Header("X-Redwing-Workspace");
--- a/testing/fault_proxy/fault_proxy.cc
+++ b/testing/fault_proxy/fault_proxy.cc
@@ -36,8 +36,7 @@
       sockets_(kernel.io()),
       server_(kernel.io(), sockets_, metrics_, *this, HttpServerLimits()),
       listen_(settings.Endpoint("listen")),
-      random_(
-          static_cast<uint64_t>(settings.Integer("seed", 0, INT64_MAX, 1))),
+      random_(static_cast<uint64_t>(settings.Integer("seed", 0, INT64_MAX, 1))),
       started_(Clock::now()) {}
 
 FaultProxy::~FaultProxy() = default;
@@ -99,8 +98,7 @@
 }
 
 bool FaultProxy::Draw(double probability) {
-  return probability > 0 &&
-         std::bernoulli_distribution(probability)(random_);
+  return probability > 0 && std::bernoulli_distribution(probability)(random_);
 }
 
 json FaultProxy::AddLink(const json& body) {
@@ -111,8 +109,8 @@
   std::unique_ptr<UdpLink> udp;
   std::unique_ptr<TcpLink> tcp;
   if (protocol != "tcp") {
-    udp = std::make_unique<UdpLink>(
-        *this, UdpEndpoint(FormatEndpoint(listen)), UdpEndpoint(to));
+    udp = std::make_unique<UdpLink>(*this, UdpEndpoint(FormatEndpoint(listen)),
+                                    UdpEndpoint(to));
     listen.port(udp->local_endpoint().port());
   }
   if (protocol != "udp") {
--- a/testing/fault_proxy/links.cc
+++ b/testing/fault_proxy/links.cc
@@ -108,8 +108,8 @@
       while (queue_.size() >= kMaxQueued && sink_.is_open()) {
         SleepFor(proxy_.kernel().io(), kPoll, yield);
       }
-      const TimePoint at = proxy_.LineTime(from_, to_, size) +
-                           proxy_.Rule(from_, to_).delay;
+      const TimePoint at =
+          proxy_.LineTime(from_, to_, size) + proxy_.Rule(from_, to_).delay;
       queue_.push_back({at, buffer.substr(0, size)});
     }
   }
@@ -242,9 +242,7 @@
 UdpLink::UdpLink(FaultProxy& proxy,
                  const udp::endpoint& listen,
                  udp::endpoint to)
-    : proxy_(proxy),
-      socket_(proxy.kernel().io(), listen),
-      to_(std::move(to)) {
+    : proxy_(proxy), socket_(proxy.kernel().io(), listen), to_(std::move(to)) {
   socket_.non_blocking(true);
   Receive();
 }
@@ -257,8 +255,7 @@
           return;
         }
         if (!ec) {
-          Forward(std::string(buffer_.data(), size),
-                  RegionOf(from_.address()));
+          Forward(std::string(buffer_.data(), size), RegionOf(from_.address()));
         }
         Receive();
       });
@@ -283,13 +280,12 @@
 void UdpLink::SendLater(const std::string& bytes, TimePoint at) {
   auto timer =
       std::make_shared<boost::asio::steady_timer>(proxy_.kernel().io(), at);
-  timer->async_wait(
-      [this, timer, bytes](const boost::system::error_code& ec) {
-        if (!ec) {
-          boost::system::error_code ignored;
-          socket_.send_to(boost::asio::buffer(bytes), to_, 0, ignored);
-        }
-      });
+  timer->async_wait([this, timer, bytes](const boost::system::error_code& ec) {
+    if (!ec) {
+      boost::system::error_code ignored;
+      socket_.send_to(boost::asio::buffer(bytes), to_, 0, ignored);
+    }
+  });
 }
 
 }  // namespace redwing::testing
--- a/testing/harness/fleet.cc
+++ b/testing/harness/fleet.cc
@@ -285,16 +285,16 @@
       "fake-platform",
       std::vector<std::string>{
           "--settings",
-          WriteFile("platform.json",
-                    {{"listen", fmt::format("127.0.{}.5:0",
-                                            plan_.platform_region)},
-                     {"list_lag_ms", plan_.list_lag_ms},
-                     {"seed", plan_.seed}})},
+          WriteFile(
+              "platform.json",
+              {{"listen", fmt::format("127.0.{}.5:0", plan_.platform_region)},
+               {"list_lag_ms", plan_.list_lag_ms},
+               {"seed", plan_.seed}})},
       LogPath("platform"));
   platform_address_ = platform_->ReadAnnouncement().at("http");
-  const size_t link = AddLink(
-      "tcp", fmt::format("127.1.{}.5:0", plan_.platform_region),
-      &platform_link_address_);
+  const size_t link =
+      AddLink("tcp", fmt::format("127.1.{}.5:0", plan_.platform_region),
+              &platform_link_address_);
   Retarget(link, platform_address_);
 }
 
@@ -346,8 +346,8 @@
   targets_ = std::make_unique<Process>(
       "fake-target",
       std::vector<std::string>{
-          "--settings", WriteFile("targets.json", {{"targets", sites},
-                                                   {"seed", plan_.seed}})},
+          "--settings", WriteFile("targets.json",
+                                  {{"targets", sites}, {"seed", plan_.seed}})},
       LogPath("targets"));
   const json announced = targets_->ReadAnnouncement();
   for (auto site = announced.begin(); site != announced.end(); ++site) {
@@ -399,13 +399,21 @@
 }
 
 void Fleet::LoadDocument() {
+  // What others refer to comes first: an edit is checked on its own.
+  std::multimap<int, std::string> order;
   for (auto section = plan_.sections.begin(); section != plan_.sections.end();
        ++section) {
-    json body = *section;
+    const int rank = section->contains("regions")    ? 0
+                     : section->contains("services") ? 1
+                                                     : 2;
+    order.emplace(rank, section.key());
+  }
+  for (const auto& [rank, name] : order) {
+    json body = plan_.sections.at(name);
     if (body.contains("services")) {
       for (json& service : body.at("services")) {
         service["targets"] = json::array();
-        for (auto& [name, document] : target_documents_) {
+        for (const auto& [target_name, document] : target_documents_) {
           if (document.at("service") == service.at("name")) {
             json target = document;
             target.erase("service");
@@ -414,7 +422,7 @@
         }
       }
     }
-    CallJson(http::verb::put, admin_address_, "/v1/sections/" + section.key(),
+    CallJson(http::verb::put, admin_address_, "/v1/sections/" + name,
              {{"from_revision", 0}, {"body", body}}, root_key_);
   }
 }
--- a/testing/harness/process.cc
+++ b/testing/harness/process.cc
@@ -37,8 +37,8 @@
   posix_spawn_file_actions_adddup2(&actions, pipe_ends[1], STDOUT_FILENO);
   posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log_path.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
-  const int error = posix_spawn(&pid_, path.c_str(), &actions, nullptr,
-                                argv.data(), environ);
+  const int error =
+      posix_spawn(&pid_, path.c_str(), &actions, nullptr, argv.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
   close(pipe_ends[1]);
   output_ = pipe_ends[0];
--- a/testing/harness/sync_client.cc
+++ b/testing/harness/sync_client.cc
@@ -52,9 +52,8 @@
     throw std::runtime_error(target + ": " + reply.error().detail);
   }
   if (reply.value().status < 200 || reply.value().status > 299) {
-    throw std::runtime_error(fmt::format("{}: {} {}", target,
-                                         reply.value().status,
-                                         reply.value().body));
+    throw std::runtime_error(fmt::format(
+        "{}: {} {}", target, reply.value().status, reply.value().body));
   }
   return nlohmann::json::parse(reply.value().body);
 }
