--- /dev/null
+++ b/testing/harness/windows.cc
@@ -0,0 +1,35 @@
+#include "testing/harness/windows.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace redwing::testing {
+
+std::vector<double> RunTimes(const nlohmann::json& runs,
+                             const std::string& workspace) {
+  constexpr double kMicrosecondsPerSecond = 1e6;
+  std::vector<double> times;
+  for (const nlohmann::json& run : runs) {
+    if (run.at(3) == workspace) {
+      times.push_back(run.at(0).get<double>() / kMicrosecondsPerSecond);
+    }
+  }
+  std::sort(times.begin(), times.end());
+  return times;
+}
+
+double WorstOverrun(const std::vector<double>& times,
+                    double rate,
+                    double burst) {
+  // The window from run i to run j holds j - i + 1 runs.
+  double lowest = std::numeric_limits<double>::max();
+  double worst = std::numeric_limits<double>::lowest();
+  for (size_t j = 0; j < times.size(); ++j) {
+    const double at = static_cast<double>(j) - rate * times[j];
+    lowest = std::min(lowest, at);
+    worst = std::max(worst, at + 1 - lowest - burst);
+  }
+  return worst;
+}
+
+}  // namespace redwing::testing
--- /dev/null
+++ b/testing/harness/windows.h
@@ -0,0 +1,22 @@
+#ifndef REDWING_TESTING_HARNESS_WINDOWS_H_
+#define REDWING_TESTING_HARNESS_WINDOWS_H_
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace redwing::testing {
+
+// Times of a workspace's runs, in seconds, sorted. `runs` as of Fleet::Runs().
+std::vector<double> RunTimes(const nlohmann::json& runs,
+                             const std::string& workspace);
+
+// Returns by how many requests the worst window, of whatever length, exceeds
+// rate x length + burst; negative when none does.
+double WorstOverrun(const std::vector<double>& times,
+                    double rate,
+                    double burst);
+
+}  // namespace redwing::testing
+
+#endif  // REDWING_TESTING_HARNESS_WINDOWS_H_
