Shares follow demand: refusals answered, peers that have none skipped, leases returned early

Cause: a lender with nothing to lend kept silent, so a borrower counted what it had asked for as held for 400 ms; small needs were asked of the own region's peers again and again; leases outlived their demand by a second. Ruled out: ownership (shares added up to the whole), clamped buckets. Change: lenders answer refusals, borrowers skip such peers for 250 ms, surplus leases are returned at once, and a request is refused at once only after a lease's length without a lender. The load generator now has several callers a group, each with its own cached look-up.

--- a/src/budget/internal/budget_account.h
+++ b/src/budget/internal/budget_account.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -32,6 +33,10 @@
   // Largest single amount asked for lately.
   double largest_amount = 0;
   TimePoint last_used;
+  // Peers that had nothing to lend, and until when they are not asked again.
+  std::map<std::string, TimePoint> refused_until;
+  // Since when no peer had anything to lend.
+  TimePoint starved_since = TimePoint::max();
   double spent = 0;
   double refused = 0;
 
--- a/src/budget/internal/lease_messages.h
+++ b/src/budget/internal/lease_messages.h
@@ -20,8 +20,8 @@
   }
 };
 
-// Grants a request. The lease ends for the borrower `duration_ms` after it
-// sent the request.
+// Answers a request; lease_id 0 refuses it. The lease ends for the borrower
+// `duration_ms` after it sent the request.
 struct LeaseGrant {
   uint64_t request_id = 0;
   uint64_t lease_id = 0;
@@ -35,6 +35,18 @@
   }
 };
 
+// Gives a lease back before its end, with tokens that are left of it.
+struct LeaseReturn {
+  uint64_t lease_id = 0;
+  std::string budget;
+  double tokens = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(lease_id, budget, tokens);
+  }
+};
+
 }  // namespace redwing
 
 #endif  // REDWING_BUDGET_INTERNAL_LEASE_MESSAGES_H_
--- a/src/budget/internal/share_bucket.cc
+++ b/src/budget/internal/share_bucket.cc
@@ -120,6 +120,38 @@
   return Extend(&borrowed_, id, until);
 }
 
+double ShareBucket::Return(uint64_t id, TimePoint now) {
+  Advance(now);
+  const auto lease =
+      std::find_if(borrowed_.begin(), borrowed_.end(),
+                   [id](const ShareLease& l) { return l.id == id; });
+  if (lease == borrowed_.end()) {
+    return 0;
+  }
+  const double tokens = tokens_ * lease->share / EffectiveShare();
+  tokens_ -= tokens;
+  borrowed_.erase(lease);
+  Clamp();
+  return tokens;
+}
+
+void ShareBucket::TakeBack(uint64_t id,
+                           const std::string& peer,
+                           double tokens,
+                           TimePoint now) {
+  Advance(now);
+  const auto lease = std::find_if(lent_.begin(), lent_.end(),
+                                  [id, &peer](const ShareLease& l) {
+                                    return l.id == id && l.peer == peer;
+                                  });
+  if (lease == lent_.end()) {
+    return;
+  }
+  lent_.erase(lease);
+  tokens_ += std::max(0.0, tokens);
+  Clamp();
+}
+
 void ShareBucket::Advance(TimePoint now) {
   TimePoint next = std::min(FirstEnd(lent_, now), FirstEnd(borrowed_, now));
   while (next < now) {
--- a/src/budget/internal/share_budgets.cc
+++ b/src/budget/internal/share_budgets.cc
@@ -22,6 +22,8 @@
 constexpr Milliseconds kTickInterval{20};
 // A request not answered by then counts as lost.
 constexpr Milliseconds kRequestTimeout{400};
+// A peer that had nothing to lend is not asked again for this long.
+constexpr Milliseconds kRefusalTime{250};
 // A lender counts a lease this much longer, against clocks that differ in
 // speed.
 constexpr double kLenderMargin = 1.02;
@@ -97,6 +99,12 @@
              const boost::asio::ip::udp::endpoint& /*from*/) {
         HandleGrant(envelope);
       });
+  transport_->OnDatagram(
+      MessageKind::kLeaseReturn,
+      [this](const Envelope& envelope,
+             const boost::asio::ip::udp::endpoint& /*from*/) {
+        HandleReturn(envelope);
+      });
 }
 
 void ShareBudgets::Start() {
@@ -134,7 +142,7 @@
   const double wait_seconds = (account.waiting_amount + amount) / rate;
   const double wait_limit =
       ToSeconds(std::min<Clock::duration>(options_.max_wait, deadline - now));
-  const bool can_borrow = policy_->ShareToBorrow(account) > 0;
+  const bool can_borrow = MayBorrow(found->first, account, now);
   const bool hopeless = can_borrow ? account.waiting_amount + amount >
                                          account.bucket.spec().rate * wait_limit
                                    : wait_seconds > wait_limit;
@@ -284,6 +292,22 @@
                 retry_after);
 }
 
+bool ShareBudgets::MayBorrow(const std::string& name,
+                             BudgetAccount& account,
+                             TimePoint now) {
+  if (policy_->ShareToBorrow(account) <= 0) {
+    account.starved_since = TimePoint::max();
+    return false;
+  }
+  if (OpenShare(name) > 0 || !Lenders(account, now).empty()) {
+    account.starved_since = TimePoint::max();
+    return true;
+  }
+  account.starved_since = std::min(account.starved_since, now);
+  // Leases that a demand elsewhere has left behind come back within this time.
+  return now - account.starved_since < options_.lease_duration;
+}
+
 void ShareBudgets::BorrowFor(const std::string& name,
                              BudgetAccount& account,
                              TimePoint now) {
@@ -293,7 +317,7 @@
   if (missing <= 0) {
     return;
   }
-  const std::vector<const Member*> lenders = Lenders(account.bucket.spec());
+  const std::vector<const Member*> lenders = Lenders(account, now);
   if (lenders.empty()) {
     return;
   }
@@ -312,16 +336,11 @@
 void ShareBudgets::RenewLeases(const std::string& name,
                                BudgetAccount& account,
                                TimePoint now) {
-  double surplus = account.bucket.EffectiveShare() - account.NeededShare();
+  ReturnSurplus(name, account, now);
   for (const ShareLease& lease : account.bucket.borrowed()) {
     if (lease.until - now > options_.lease_duration / 2) {
       continue;
     }
-    if (lease.share <= surplus) {
-      // Not needed any more: let it return to the lender.
-      surplus -= lease.share;
-      continue;
-    }
     const bool asked = std::any_of(
         open_requests_.begin(), open_requests_.end(),
         [&lease](const std::pair<const uint64_t, OpenRequest>& item) {
@@ -333,6 +352,26 @@
   }
 }
 
+void ShareBudgets::ReturnSurplus(const std::string& name,
+                                 BudgetAccount& account,
+                                 TimePoint now) {
+  double surplus = account.bucket.EffectiveShare() - account.NeededShare();
+  const std::vector<ShareLease> borrowed = account.bucket.borrowed();
+  for (const ShareLease& lease : borrowed) {
+    const Member* const member = membership_->Find(lease.peer);
+    if (lease.share > surplus || member == nullptr) {
+      continue;
+    }
+    surplus -= lease.share;
+    // Given up here before the lender hears of it. A return that gets lost
+    // costs the lender the rest of the lease.
+    const double tokens = account.bucket.Return(lease.id, now);
+    transport_->Send(UdpEndpoint(member->peer_address),
+                     MessageKind::kLeaseReturn,
+                     EncodePayload(LeaseReturn{lease.id, name, tokens}));
+  }
+}
+
 void ShareBudgets::SendRequest(const std::string& peer,
                                OpenRequest request,
                                TimePoint now) {
@@ -363,11 +402,17 @@
   return sum;
 }
 
-std::vector<const Member*> ShareBudgets::Lenders(const BudgetSpec& spec) {
+std::vector<const Member*> ShareBudgets::Lenders(const BudgetAccount& account,
+                                                 TimePoint now) {
+  const BudgetSpec& spec = account.bucket.spec();
   std::vector<const Member*> lenders;
   for (const auto& [name, member] : membership_->members()) {
     const bool same_region = member.region == identity_->region;
-    if (member.usable() && (spec.scope == BudgetScope::kFleet || same_region)) {
+    const auto refused = account.refused_until.find(name);
+    const bool has_none =
+        refused != account.refused_until.end() && now < refused->second;
+    if (member.usable() && !has_none &&
+        (spec.scope == BudgetScope::kFleet || same_region)) {
       lenders.push_back(&member);
     }
   }
@@ -403,19 +448,17 @@
                               options_.lease_duration * kLenderMargin) +
                           kLenderExtra;
   if (request.lease_id != 0) {
-    if (!policy_->ExtendLease(account) ||
-        !account.bucket.ExtendLent(request.lease_id, until, now)) {
-      return;
+    if (policy_->ExtendLease(account) &&
+        account.bucket.ExtendLent(request.lease_id, until, now)) {
+      grant.lease_id = request.lease_id;
     }
-    grant.lease_id = request.lease_id;
   } else {
     grant.share = policy_->ShareToLend(account, request.share);
-    if (!(grant.share > 0)) {
-      return;
+    if (grant.share > 0) {
+      grant.lease_id = random_();
+      grant.tokens = account.bucket.Lend(
+          {grant.lease_id, envelope.sender, grant.share, until}, now);
     }
-    grant.lease_id = random_();
-    grant.tokens = account.bucket.Lend(
-        {grant.lease_id, envelope.sender, grant.share, until}, now);
   }
   metrics_
       .Get("redwing_lease_grants_total",
@@ -425,6 +468,22 @@
                    EncodePayload(grant));
 }
 
+void ShareBudgets::HandleReturn(const Envelope& envelope) {
+  const Result<LeaseReturn> decoded =
+      DecodePayload<LeaseReturn>(envelope.payload);
+  if (!decoded) {
+    return;
+  }
+  const auto found = accounts_.find(decoded.value().budget);
+  if (found == accounts_.end()) {
+    return;
+  }
+  const TimePoint now = Clock::now();
+  found->second.bucket.TakeBack(decoded.value().lease_id, envelope.sender,
+                                decoded.value().tokens, now);
+  GrantWaiters(found->second, now);
+}
+
 void ShareBudgets::HandleGrant(const Envelope& envelope) {
   const Result<LeaseGrant> decoded =
       DecodePayload<LeaseGrant>(envelope.payload);
@@ -443,6 +502,10 @@
     return;
   }
   const TimePoint now = Clock::now();
+  if (grant.lease_id == 0) {
+    found->second.refused_until[envelope.sender] = now + kRefusalTime;
+    return;
+  }
   // Counted from the sending of the request, so that the lease ends here
   // before it ends at the lender.
   const TimePoint until = request.sent_at + Milliseconds(grant.duration_ms);
--- a/src/budget/internal/share_budgets.h
+++ b/src/budget/internal/share_budgets.h
@@ -76,16 +76,26 @@
             TimePoint deadline,
             const Yield& yield);
   Failure Refuse(BudgetAccount& account, double amount, std::string_view name);
+  // Returns whether more of a budget may still come from peers.
+  bool MayBorrow(const std::string& name,
+                 BudgetAccount& account,
+                 TimePoint now);
   void BorrowFor(const std::string& name,
                  BudgetAccount& account,
                  TimePoint now);
   void RenewLeases(const std::string& name,
                    BudgetAccount& account,
                    TimePoint now);
+  // Gives leases back that are no longer needed.
+  void ReturnSurplus(const std::string& name,
+                     BudgetAccount& account,
+                     TimePoint now);
   void SendRequest(const std::string& peer, OpenRequest request, TimePoint now);
   double OpenShare(const std::string& budget) const;
-  std::vector<const Member*> Lenders(const BudgetSpec& spec);
+  std::vector<const Member*> Lenders(const BudgetAccount& account,
+                                     TimePoint now);
   void HandleRequest(const Envelope& envelope);
+  void HandleReturn(const Envelope& envelope);
   void HandleGrant(const Envelope& envelope);
 
   boost::asio::io_context& io_;
--- a/src/budget/share_bucket.h
+++ b/src/budget/share_bucket.h
@@ -49,6 +49,15 @@
   // Extends a borrowed lease. Returns false when it has ended.
   bool ExtendBorrowed(uint64_t id, TimePoint until, TimePoint now);
 
+  // Gives a borrowed lease up; returns its part of the tokens.
+  double Return(uint64_t id, TimePoint now);
+  // Ends a lease lent to `peer` that was returned; without effect when it has
+  // ended already.
+  void TakeBack(uint64_t id,
+                const std::string& peer,
+                double tokens,
+                TimePoint now);
+
   const std::vector<ShareLease>& lent() const { return lent_; }
   const std::vector<ShareLease>& borrowed() const { return borrowed_; }
 
--- a/src/budget/tests/share_bucket_test.cc
+++ b/src/budget/tests/share_bucket_test.cc
@@ -67,6 +67,25 @@
   CHECK(lender.own_share() == Approx(0.1));
 }
 
+TEST_CASE("a returned lease is the lender's again, once") {
+  ShareBucket lender = MakeBucket(1);
+  ShareBucket borrower = MakeBucket(0);
+  lender.Tokens(At(1000));
+  borrower.Tokens(At(1000));
+  const ShareLease lease = {1, "peer", 0.5, At(2000)};
+  borrower.Borrow(lease, lender.Lend(lease, At(1000)), At(1000));
+  const double tokens = borrower.Return(1, At(1100));
+  CHECK(borrower.Tokens(At(1100)) == Approx(0));
+  CHECK(borrower.Return(1, At(1100)) == Approx(0));
+  lender.TakeBack(1, "other", tokens, At(1100));
+  CHECK(lender.Rate() == Approx(50));
+  lender.TakeBack(1, "peer", tokens, At(1100));
+  CHECK(lender.Rate() == Approx(100));
+  CHECK(lender.Tokens(At(1100)) == Approx(20));
+  lender.TakeBack(1, "peer", tokens, At(1100));
+  CHECK(lender.Tokens(At(1100)) == Approx(20));
+}
+
 // Holders that lend at random, with grants lost, late and out of order, never
 // admit more than rate x time + burst together.
 TEST_CASE("random lending never admits more than the whole budget") {
--- a/src/framework/peer/internal/socket_peer_transport.cc
+++ b/src/framework/peer/internal/socket_peer_transport.cc
@@ -21,6 +21,7 @@
 constexpr Milliseconds kServeTimeout{5'000};
 constexpr size_t kNonceBytes = 16;
 constexpr size_t kNonceText = kNonceBytes * 2;
+constexpr int kListenAttempts = 16;
 constexpr int kReceiveBuffer = 1024 * 1024;  // bytes
 
 // Incarnations grow from one start of an instance to the next while its clock
@@ -83,6 +84,16 @@
 SocketPeerTransport::~SocketPeerTransport() = default;
 
 void SocketPeerTransport::Listen(const udp::endpoint& endpoint) {
+  // With port 0 the number that UDP gets may be taken for TCP: try another.
+  const int attempts = endpoint.port() == 0 ? kListenAttempts : 1;
+  for (int attempt = 1; !TryListen(endpoint, attempt == attempts); ++attempt) {
+  }
+  Receive();
+  Accept();
+}
+
+bool SocketPeerTransport::TryListen(const udp::endpoint& endpoint,
+                                    bool last_attempt) {
   socket_.open(endpoint.protocol());
   socket_.set_option(
       boost::asio::socket_base::receive_buffer_size(kReceiveBuffer));
@@ -92,10 +103,19 @@
                                    socket_.local_endpoint().port());
   acceptor_.open(tcp_endpoint.protocol());
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(tcp_endpoint);
-  acceptor_.listen();
-  Receive();
-  Accept();
+  boost::system::error_code ec;
+  acceptor_.bind(tcp_endpoint, ec);
+  if (!ec) {
+    acceptor_.listen(boost::asio::socket_base::max_listen_connections, ec);
+  }
+  if (!ec) {
+    return true;
+  }
+  if (last_attempt) {
+    throw boost::system::system_error(ec, "peer address");
+  }
+  Stop();
+  return false;
 }
 
 void SocketPeerTransport::Stop() {
--- a/src/framework/peer/internal/socket_peer_transport.h
+++ b/src/framework/peer/internal/socket_peer_transport.h
@@ -47,6 +47,9 @@
  private:
   static constexpr size_t kMaxDatagram = 65536;
 
+  // Returns whether both sockets are bound. Throws on the last attempt.
+  bool TryListen(const boost::asio::ip::udp::endpoint& endpoint,
+                 bool last_attempt);
   Envelope Wrap(MessageKind kind, std::string payload);
   void Receive();
   void HandleDatagram(std::string_view bytes);
--- a/src/framework/wire/envelope.h
+++ b/src/framework/wire/envelope.h
@@ -13,6 +13,7 @@
   kWithdrawalAck = 3,
   kLeaseRequest = 4,
   kLeaseGrant = 5,
+  kLeaseReturn = 6,
   kStatePull = 7,
   kStateReply = 8,
 };
--- a/src/load/internal/load_generator.cc
+++ b/src/load/internal/load_generator.cc
@@ -61,13 +61,15 @@
       weights.push_back(request.weight);
     }
     std::discrete_distribution<size_t> kind(weights.begin(), weights.end());
+    std::uniform_int_distribution<int> caller(0, group.callers - 1);
     double at = ToSeconds(group.from) + gap(random_);
     while (at < ToSeconds(group.until)) {
       arrivals.push_back(
           {started_ + std::chrono::duration_cast<Clock::duration>(
                           std::chrono::duration<double>(at)),
            g, &group.requests[kind(random_)],
-           fmt::format("{}-{}-{}", plan_.seed, group.name, arrivals.size())});
+           fmt::format("{}-{}-{}", plan_.seed, group.name, arrivals.size()),
+           caller(random_)});
       at += gap(random_);
     }
   }
@@ -136,7 +138,8 @@
     return entries;
   }
   const CallerGroup& group = plan_.groups[arrival.group];
-  CachedLookup& cached = lookups_[group.name + "/" + arrival.request->service];
+  CachedLookup& cached = lookups_[fmt::format(
+      "{}/{}/{}", group.name, arrival.request->service, arrival.caller)];
   for (size_t i = 0; Clock::now() >= cached.until && i < plan_.entries.size();
        ++i) {
     HttpCall call;
--- a/src/load/internal/load_plan.cc
+++ b/src/load/internal/load_plan.cc
@@ -31,6 +31,7 @@
   group.key = reader.String("key", "");
   group.region = reader.String("region", "");
   group.rate = reader.Number("rate_per_s", 0.001, 1e6);
+  group.callers = static_cast<int>(reader.Integer("callers", 1, 10'000, 8));
   group.from = Milliseconds(reader.Integer("from_ms", 0, kMaxMs, 0));
   group.until =
       Milliseconds(reader.Integer("until_ms", 0, kMaxMs, duration.count()));
--- a/src/load/load_generator.h
+++ b/src/load/load_generator.h
@@ -42,6 +42,7 @@
     size_t group;
     const LoadRequest* request;
     std::string token;
+    int caller;
   };
 
   std::vector<Arrival> Schedule();
--- a/src/load/load_plan.h
+++ b/src/load/load_plan.h
@@ -30,6 +30,8 @@
   std::string key;
   std::string region;
   double rate = 0;  // requests a second
+  // Number of callers, each of which caches look-up answers of its own.
+  int callers = 1;
   // Part of the run in which the group sends.
   Milliseconds from{0};
   Milliseconds until{0};
--- a/testing/integration/budget_test_fleet.cc
+++ b/testing/integration/budget_test_fleet.cc
@@ -90,10 +90,9 @@
   Fleet fleet(plan);
   fleet.Start();
   const std::string alpha = fleet.IssueKey("alpha");
-  json settings = Settings(
-      {Group("first", alpha, 1, 3 * kRate, 0, 5000),
-       Group("second", alpha, 2, 3 * kRate, 5000, 10'000)},
-      10'000);
+  json settings = Settings({Group("first", alpha, 1, 3 * kRate, 0, 5000),
+                            Group("second", alpha, 2, 3 * kRate, 5000, 10'000)},
+                           10'000);
   const json report = fleet.RunLoad(settings, "skew");
   const json runs = fleet.Runs();
   CheckNoOverrun(runs, "alpha");
