Planned stops end cleanly; first requests after a pause are not refused

Cause 1: after the event loop stopped, coroutines still suspended were unwound while the objects they refer to were being destroyed; the process died by signal. Daemons now end without destructors once drained. Cause 2: the demand of an idle budget is zero until the next tick, so the first request at an instance without an own share was refused at once; what is asked for since the last tick now counts as backlog. The fault proxy can refuse connections to a killed instance, as a dead host does.

--- a/apps/program_options.h
+++ b/apps/program_options.h
@@ -1,7 +1,11 @@
 #ifndef REDWING_APPS_PROGRAM_OPTIONS_H_
 #define REDWING_APPS_PROGRAM_OPTIONS_H_
 
+#include <spdlog/spdlog.h>
+
 #include <CLI/CLI.hpp>
+#include <cstdio>
+#include <cstdlib>
 #include <string>
 
 namespace redwing {
@@ -34,6 +38,15 @@
   }
 }
 
+// Ends a daemon whose event loop has stopped. Destructors are skipped:
+// coroutines still suspended would be unwound while the objects that they
+// refer to are being destroyed.
+[[noreturn]] inline void EndDaemon() {
+  spdlog::shutdown();
+  std::fflush(nullptr);
+  std::quick_exit(kExitOk);
+}
+
 }  // namespace redwing
 
 #endif  // REDWING_APPS_PROGRAM_OPTIONS_H_
--- a/apps/redwing_admin.cc
+++ b/apps/redwing_admin.cc
@@ -42,7 +42,7 @@
   const ProcessSignals signals(kernel);
   kernel.Start();
   kernel.Run();
-  return kExitOk;
+  EndDaemon();
 }
 
 }  // namespace
--- a/src/budget/demand_meter.h
+++ b/src/budget/demand_meter.h
@@ -14,6 +14,8 @@
   // Takes what was added since the last call into the estimate.
   void Update(TimePoint now);
 
+  // What was added since the last update.
+  double pending() const { return pending_; }
   // Units a second.
   double rate() const { return rate_; }
 
--- a/src/budget/internal/budget_account.cc
+++ b/src/budget/internal/budget_account.cc
@@ -21,7 +21,9 @@
 }
 
 double BudgetAccount::NeededRate() const {
-  return demand.rate() * kHeadroom + waiting_amount / kBacklogSeconds;
+  // The first requests after a pause are not in the rate yet.
+  const double backlog = waiting_amount + demand.pending();
+  return demand.rate() * kHeadroom + backlog / kBacklogSeconds;
 }
 
 double BudgetAccount::NeededShare() const {
--- a/testing/fault_proxy/fault_proxy.cc
+++ b/testing/fault_proxy/fault_proxy.cc
@@ -126,6 +126,7 @@
   const size_t link = body.at("link");
   const std::string to = body.at("to");
   if (tcp_links_.at(link)) {
+    tcp_links_.at(link)->SetUp(body.value("up", true));
     tcp_links_.at(link)->SetTo(TcpEndpoint(to));
   }
   if (udp_links_.at(link)) {
--- a/testing/fault_proxy/fault_proxy.h
+++ b/testing/fault_proxy/fault_proxy.h
@@ -73,6 +73,7 @@
   // Opens a TCP link, a UDP link, or both with the same port number. Where it
   // leads can be set later, by its number.
   nlohmann::json AddLink(const nlohmann::json& body);
+  // Sets where a link leads, and whether it is up.
   void Retarget(const nlohmann::json& body);
   void SetRules(const nlohmann::json& body);
   nlohmann::json Meters() const;
--- a/testing/fault_proxy/links.cc
+++ b/testing/fault_proxy/links.cc
@@ -190,11 +190,28 @@
 TcpLink::TcpLink(FaultProxy& proxy,
                  const tcp::endpoint& listen,
                  tcp::endpoint to)
-    : proxy_(proxy), acceptor_(proxy.kernel().io()), to_(std::move(to)) {
-  acceptor_.open(listen.protocol());
+    : proxy_(proxy),
+      acceptor_(proxy.kernel().io()),
+      listen_(listen),
+      to_(std::move(to)) {
+  Open();
+}
+
+void TcpLink::SetUp(bool up) {
+  if (up && !acceptor_.is_open()) {
+    Open();
+  } else if (!up) {
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+  }
+}
+
+void TcpLink::Open() {
+  acceptor_.open(listen_.protocol());
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(listen);
+  acceptor_.bind(listen_);
   acceptor_.listen();
+  listen_ = acceptor_.local_endpoint();
   Accept();
 }
 
--- a/testing/fault_proxy/links.h
+++ b/testing/fault_proxy/links.h
@@ -22,15 +22,19 @@
           boost::asio::ip::tcp::endpoint to);
 
   void SetTo(const boost::asio::ip::tcp::endpoint& to) { to_ = to; }
+  // While a link is down, connections to it are refused.
+  void SetUp(bool up);
   boost::asio::ip::tcp::endpoint local_endpoint() const {
     return acceptor_.local_endpoint();
   }
 
  private:
+  void Open();
   void Accept();
 
   FaultProxy& proxy_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::ip::tcp::endpoint listen_;
   boost::asio::ip::tcp::endpoint to_;
 };
 
--- a/testing/harness/fleet.cc
+++ b/testing/harness/fleet.cc
@@ -158,6 +158,12 @@
   Retarget(entry.peer_link, entry.peer_listen);
 }
 
+void Fleet::KillEntry(FleetEntry& entry) {
+  entry.process->Kill();
+  Retarget(entry.http_link, entry.http_listen, false);
+  Retarget(entry.peer_link, entry.peer_listen, false);
+}
+
 void Fleet::List(const FleetEntry& entry, bool leaving, bool removed) {
   CallJson(http::verb::post, platform_address_, "/_control/instance",
            {{"name", entry.name},
@@ -437,9 +443,9 @@
   return answer.at("link");
 }
 
-void Fleet::Retarget(size_t link, const std::string& to) const {
+void Fleet::Retarget(size_t link, const std::string& to, bool up) const {
   CallJson(http::verb::post, proxy_address_, "/_control/retarget",
-           {{"link", link}, {"to", to}});
+           {{"link", link}, {"to", to}, {"up", up}});
 }
 
 std::string Fleet::WriteFile(const std::string& name,
--- a/testing/harness/fleet.h
+++ b/testing/harness/fleet.h
@@ -94,6 +94,8 @@
   std::string IssueKey(const std::string& workspace);
 
   void StartEntry(FleetEntry& entry);
+  // Kills an entry; connections to it are refused from then on.
+  void KillEntry(FleetEntry& entry);
   // Lists, delists or marks an instance in the platform's list.
   void List(const FleetEntry& entry, bool leaving, bool removed);
   void ListTarget(const std::string& target, bool leaving);
@@ -127,7 +129,7 @@
   size_t AddLink(const std::string& protocol,
                  const std::string& listen,
                  std::string* address);
-  void Retarget(size_t link, const std::string& to) const;
+  void Retarget(size_t link, const std::string& to, bool up = true) const;
   std::string WriteFile(const std::string& name,
                         const nlohmann::json& content) const;
   std::string LogPath(const std::string& name) const;
--- a/testing/integration/delivery_test_fleet.cc
+++ b/testing/integration/delivery_test_fleet.cc
@@ -18,10 +18,16 @@
 
 json Requests() {
   return {{{"service", "svc"}, {"path", "/x"}, {"response_bytes", 20'000}},
-          {{"service", "svc"}, {"path", "/x"}, {"method", "POST"},
-           {"body_bytes", 3000}, {"once", true}},
-          {{"service", "svc"}, {"path", "/x"}, {"method", "POST"},
-           {"body_bytes", 300}, {"keyed", true}}};
+          {{"service", "svc"},
+           {"path", "/x"},
+           {"method", "POST"},
+           {"body_bytes", 3000},
+           {"once", true}},
+          {{"service", "svc"},
+           {"path", "/x"},
+           {"method", "POST"},
+           {"body_bytes", 300},
+           {"keyed", true}}};
 }
 
 json Load(const std::string& key,
@@ -128,13 +134,12 @@
   Fleet fleet(SmallPlan(1, 2, kRate, kBurst));
   fleet.Start();
   const std::string key = fleet.IssueKey("alpha");
-  const std::string mode = GENERATE("truncate", "lying_length", "endless",
-                                    "mute", "early", "error");
+  const std::string mode =
+      GENERATE("truncate", "lying_length", "endless", "mute", "early", "error");
   CAPTURE(mode);
   json load_settings = Load(key, 1, 60, 4000);
   load_settings["timeout_ms"] = 3000;
-  const std::unique_ptr<Process> load =
-      fleet.BeginLoad(load_settings, "mode");
+  const std::unique_ptr<Process> load = fleet.BeginLoad(load_settings, "mode");
   std::this_thread::sleep_for(Milliseconds(1000));
   const std::string one = fleet.target_addresses().at("svc-1");
   CallJson(http::verb::post, one, "/_control/behaviour", {{"mode", mode}});
@@ -166,14 +171,14 @@
   CHECK(PartOk(report) > 0.8);
 }
 
-TEST_CASE("a key is replayed, fits one request, and is forwarded to its owner") {
+TEST_CASE(
+    "a key is replayed, fits one request, and is forwarded to its owner") {
   Fleet fleet(SmallPlan(2, 2, kRate, kBurst));
   fleet.Start();
   const std::string key = fleet.IssueKey("alpha");
   const std::string first = fleet.entries()[0].http_address;
   const std::string other = fleet.entries()[3].http_address;
-  const json lookup =
-      CallJson(http::verb::get, first, "/v1/entry?service=svc");
+  const json lookup = CallJson(http::verb::get, first, "/v1/entry?service=svc");
   std::string prefix;
   for (const json& entry : lookup.at("entries")) {
     if (entry.at("address") == first) {
@@ -251,6 +256,8 @@
     fleet.List(entry, true, false);
     entry.process->Signal(SIGTERM);
     CHECK(entry.process->Wait(Milliseconds(20'000)) == 0);
+    fleet.KillEntry(entry);
+    std::this_thread::sleep_for(Milliseconds(500));
     fleet.StartEntry(entry);
     fleet.List(entry, false, false);
   }
@@ -270,8 +277,7 @@
   std::this_thread::sleep_for(Milliseconds(1500));
   const std::string by = GENERATE("list", "health", "operator");
   CAPTURE(by);
-  const int64_t told_at =
-      fleet.Runs().back().at(0).get<int64_t>();
+  const int64_t told_at = fleet.Runs().back().at(0).get<int64_t>();
   // Seconds after which no new work may come: the platform's lag counts only
   // where the list tells.
   double allowed_s = 3;
@@ -305,8 +311,8 @@
   const std::unique_ptr<Process> load =
       fleet.BeginLoad(Load(key, 3, 200, 8000), "region");
   std::this_thread::sleep_for(Milliseconds(2000));
-  fleet.entry("entry-r2-1").process->Kill();
-  fleet.entry("entry-r2-2").process->Kill();
+  fleet.KillEntry(fleet.entry("entry-r2-1"));
+  fleet.KillEntry(fleet.entry("entry-r2-2"));
   const json report = fleet.EndLoad(*load, "region");
   CheckSound(report);
   CHECK(PartOk(report) > 0.95);
--- a/testing/integration/http_test_fleet.cc
+++ b/testing/integration/http_test_fleet.cc
@@ -56,8 +56,7 @@
   const std::string smuggled = "GET /v1/entry?service=svc HTTP/1.1\r\n\r\n";
   const std::string post = "POST /v1/services/svc/x";
   const std::string request = GENERATE_COPY(
-      Request(post,
-              "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+      Request(post, "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
               "0\r\n\r\n"),
       Request(post, "Content-Length: 4\r\nContent-Length: 5\r\n", "abcd"),
       Request(post, "Content-Length: 4, 4\r\n", "abcd"),
@@ -130,9 +129,9 @@
 TEST_CASE("pipelined requests are answered in order") {
   std::string requests;
   for (int i = 0; i < 20; ++i) {
-    requests += Request("GET /v1/services/svc/x",
-                        Auth() + "X-Token: pipe-" + std::to_string(i) +
-                            "-end\r\n");
+    requests +=
+        Request("GET /v1/services/svc/x",
+                Auth() + "X-Token: pipe-" + std::to_string(i) + "-end\r\n");
   }
   const std::string answer = Send(requests);
   size_t last = 0;
@@ -152,11 +151,11 @@
   CHECK(CountOf(head, "HTTP/1.1 200") == 2);
   CHECK(CountOf(head, "ttl_ms") == 0);
 
-  const std::string continued = Send(
-      Request("POST /v1/services/svc/x",
-              Auth() + "Expect: 100-continue\r\nContent-Length: 3\r\n"
-                       "Connection: close\r\nX-Token: cont\r\n",
-              "abc"));
+  const std::string continued =
+      Send(Request("POST /v1/services/svc/x",
+                   Auth() + "Expect: 100-continue\r\nContent-Length: 3\r\n"
+                            "Connection: close\r\nX-Token: cont\r\n",
+                   "abc"));
   CHECK(continued.rfind("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200", 0) == 0);
 
   const std::string refused =
@@ -177,10 +176,10 @@
       "X-Api-Key: " + key + "\r\nCookie: k=" + key + "\r\nReferer: http://h/?" +
           key + "\r\nProxy-Authorization: Basic " + key + "\r\n"};
   for (const std::string& fields : places) {
-    const std::string answer = Send(
-        Request("GET /v1/services/svc/x?a=" + key + "&access_token=" + key,
-                fields + "X-Token: scrub\r\nX-Redwing-Workspace: beta\r\n"
-                         "Connection: close, X-Redwing-Workspace\r\n"));
+    const std::string answer =
+        Send(Request("GET /v1/services/svc/x?a=" + key + "&access_token=" + key,
+                     fields + "X-Token: scrub\r\nX-Redwing-Workspace: beta\r\n"
+                              "Connection: close, X-Redwing-Workspace\r\n"));
     CHECK(answer.rfind("HTTP/1.1 200", 0) == 0);
   }
   const std::string by_query =
@@ -233,18 +232,18 @@
   SharedFleet& shared = Shared();
   const size_t before = shared.fleet.entries().front().process->ResidentBytes();
   const std::string bytes = std::to_string(200 * 1024 * 1024);
-  const json report = shared.fleet.RunLoad(
-      {{"duration_ms", 1000},
-       {"timeout_ms", 60'000},
-       {"groups",
-        {{{"name", "big"},
-          {"key", shared.key},
-          {"rate_per_s", 2},
-          {"requests",
-           {{{"service", "svc"},
-             {"path", "/x"},
-             {"response_bytes", 200 * 1024 * 1024}}}}}}}},
-      "big");
+  const json report =
+      shared.fleet.RunLoad({{"duration_ms", 1000},
+                            {"timeout_ms", 60'000},
+                            {"groups",
+                             {{{"name", "big"},
+                               {"key", shared.key},
+                               {"rate_per_s", 2},
+                               {"requests",
+                                {{{"service", "svc"},
+                                  {"path", "/x"},
+                                  {"response_bytes", 200 * 1024 * 1024}}}}}}}},
+                           "big");
   CAPTURE(report.dump());
   CHECK(report.at("all").at("ok") == report.at("all").at("sent"));
   CHECK(report.at("all").at("sent") > 0);
--- a/testing/stand_in_main.h
+++ b/testing/stand_in_main.h
@@ -45,7 +45,7 @@
   }
   server.Listen();
   kernel.Run();
-  return kExitOk;
+  EndDaemon();
 }
 
 // Calls RunStandIn() and turns exceptions into an exit code.
