--- a/testing/harness/fleet.cc
+++ b/testing/harness/fleet.cc
@@ -23,6 +23,7 @@
 
 constexpr Milliseconds kStartLimit{30'000};
 constexpr Milliseconds kLoadLimit{300'000};
+constexpr Milliseconds kInternalTimeout{8'000};
 constexpr size_t kSecretBytes = 16;
 
 }  // namespace
@@ -222,11 +223,19 @@
 }
 
 json Fleet::StatusOf(const FleetEntry& entry) const {
+  return CallInternal(entry, "GET", "/internal/v1/status");
+}
+
+json Fleet::CallInternal(const FleetEntry& entry,
+                         const std::string& method,
+                         const std::string& target) const {
   HttpCall call;
   call.endpoint = TcpEndpoint(entry.http_listen);
-  call.target = "/internal/v1/status";
+  call.method = http::string_to_verb(method);
+  call.target = target;
+  call.timeout = kInternalTimeout;
   call.headers[std::string(kInternalCallField)] =
-      SignInternalCall(fleet_secret_, "GET", call.target);
+      SignInternalCall(fleet_secret_, method, target);
   const Result<HttpReply> reply = CallSync(call);
   if (!reply) {
     throw std::runtime_error(entry.name + ": " + reply.error().detail);
--- a/testing/harness/fleet.h
+++ b/testing/harness/fleet.h
@@ -109,6 +109,10 @@
   // Runs at targets: [[at_us, target, token, workspace, key_seen, finished]].
   nlohmann::json Runs() const;
   nlohmann::json StatusOf(const FleetEntry& entry) const;
+  // Makes a signed call of an entry, as redwing-admin does.
+  nlohmann::json CallInternal(const FleetEntry& entry,
+                              const std::string& method,
+                              const std::string& target) const;
   // Reads one counter of an entry's metrics, all labels added up.
   double Counter(const FleetEntry& entry, const std::string& name) const;
 
