--- a/src/budget/internal/share_budgets.cc
+++ b/src/budget/internal/share_budgets.cc
@@ -28,9 +28,13 @@
 // speed.
 constexpr double kLenderMargin = 1.02;
 constexpr Milliseconds kLenderExtra{5};
-// Links may burst for this long.
+// Part of a link's cap that requests and answers may use; the rest is left to
+// packet headers and to what the fleet itself sends.
+constexpr double kLinkUsablePart = 0.92;
+// Links may burst for this long. Over any second, usable part and burst stay
+// below the cap.
 constexpr double kLinkBurstSeconds = 0.05;
-constexpr double kMinLinkBurst = 64 * 1024;  // bytes
+constexpr double kMinLinkBurst = 32 * 1024;  // bytes
 constexpr Milliseconds kIdleTime{5000};
 constexpr Milliseconds kMaxRetryAfter{60'000};
 
@@ -49,7 +53,7 @@
   for (const Link& link : document.links()) {
     if (link.from == own_region) {
       specs.push_back({LinkBudgetName(link.from, link.to), BudgetScope::kRegion,
-                       link.cap,
+                       link.cap * kLinkUsablePart,
                        std::max(kMinLinkBurst, link.cap * kLinkBurstSeconds)});
     }
   }
--- a/src/delivery/internal/request_carrier.cc
+++ b/src/delivery/internal/request_carrier.cc
@@ -30,7 +30,8 @@
 constexpr size_t kMaxKeyedBody = 1024 * 1024;  // bytes
 // Added to the body sizes to estimate what a message takes on a link.
 constexpr double kHeaderBytes = 512;
-constexpr double kMaxLinkEstimate = 64 * 1024;  // bytes
+// What an estimate leaves out is paced as it is sent.
+constexpr double kMaxLinkEstimate = 16 * 1024;  // bytes
 constexpr Milliseconds kCloseIdleInterval{5'000};
 constexpr Milliseconds kInProgressRetry{1'000};
 
@@ -327,6 +328,7 @@
         kHeaderBytes + static_cast<double>(delivery.body.held().size()));
     const Result<void> admitted =
         Admit(plan.request_link, estimate, Errc::kLinkFull, context, yield);
+    plan.request_prepaid = estimate - kHeaderBytes;
     if (!admitted) {
       return admitted;
     }
--- a/src/delivery/internal/upstream_attempt.cc
+++ b/src/delivery/internal/upstream_attempt.cc
@@ -1,6 +1,7 @@
 #include "delivery/internal/upstream_attempt.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "budget/budgets.h"
 #include "delivery/internal/header_rules.h"
@@ -15,6 +16,8 @@
 namespace {
 constexpr size_t kPiece = 16 * 1024;       // bytes
 constexpr size_t kMaxRefusal = 64 * 1024;  // bytes
+// Charged to a link for the head of an answer.
+constexpr size_t kHeaderBytes = 512;
 constexpr size_t kAttemptIdBytes = 8;
 constexpr Milliseconds kBodyPause{10'000};
 constexpr Milliseconds kMaxBodyTime{600'000};
@@ -69,11 +72,8 @@
           piece.error().errc, Verdict::kMayHaveRun, piece.error().detail, {}};
     }
     last = piece.value().empty();
-    if (!plan_.request_link.empty()) {
-      budgets_.Pace(plan_.request_link,
-                    static_cast<double>(piece.value().size()), plan_.deadline,
-                    yield);
-    }
+    Pace(plan_.request_link, &plan_.request_prepaid, piece.value().size(),
+         plan_.deadline, yield);
     sent = connection_->WriteBody(piece.value().data(), piece.value().size(),
                                   last, yield);
   }
@@ -198,9 +198,11 @@
   const std::unique_ptr<char[]> buffer =
       std::make_unique_for_overwrite<char[]>(kPiece);
   std::string_view piece = held;
+  size_t uncharged_header = kHeaderBytes;
   while (true) {
     const bool last = connection_->body_done();
-    PaceResponse(piece.size(), end, yield);
+    Pace(plan_.response_link, &plan_.response_prepaid,
+         piece.size() + std::exchange(uncharged_header, 0), end, yield);
     if (!exchange.WriteBody(piece.data(), piece.size(), last, yield)) {
       connection_->Abort();
       return;
@@ -224,17 +226,22 @@
   }
 }
 
-void UpstreamAttempt::PaceResponse(size_t bytes,
-                                   TimePoint deadline,
-                                   const Yield& yield) {
-  if (plan_.response_link.empty()) {
+void UpstreamAttempt::Pace(const std::string& link,
+                           double* prepaid,
+                           size_t bytes,
+                           TimePoint deadline,
+                           const Yield& yield) {
+  if (link.empty()) {
     return;
   }
-  const double amount = static_cast<double>(bytes);
-  const double prepaid = std::min(plan_.response_prepaid, amount);
-  plan_.response_prepaid -= prepaid;
-  if (amount > prepaid) {
-    budgets_.Pace(plan_.response_link, amount - prepaid, deadline, yield);
+  double left = static_cast<double>(bytes);
+  const double used = std::min(*prepaid, left);
+  *prepaid -= used;
+  left -= used;
+  while (left > 0) {
+    const double piece = std::min<double>(left, kPiece);
+    budgets_.Pace(link, piece, deadline, yield);
+    left -= piece;
   }
 }
 
--- a/src/delivery/internal/upstream_attempt.h
+++ b/src/delivery/internal/upstream_attempt.h
@@ -24,9 +24,10 @@
   TimePoint deadline;
   // The upstream is another entry, whose refusals carry a verdict.
   bool to_entry = false;
-  // Link budgets; empty for none. The held part of the request was charged
-  // already; what is streamed is paced.
+  // Link budgets that the bytes are paced to; empty for none.
   std::string request_link;
+  // Bytes of the request's body that were charged to request_link already.
+  double request_prepaid = 0;
   std::string response_link;
   // Bytes of the answer that were charged to response_link already.
   double response_prepaid = 0;
@@ -69,7 +70,12 @@
   void StreamRest(HttpExchange& exchange,
                   std::string_view held,
                   const Yield& yield);
-  void PaceResponse(size_t bytes, TimePoint deadline, const Yield& yield);
+  // Waits until a link has room for what is not prepaid.
+  void Pace(const std::string& link,
+            double* prepaid,
+            size_t bytes,
+            TimePoint deadline,
+            const Yield& yield);
   ResponseHeader CallerHeader() const;
 
   ConnectionPool& pool_;
--- a/testing/integration/config_test_fleet.cc
+++ b/testing/integration/config_test_fleet.cc
@@ -128,8 +128,8 @@
     editor.join();
   }
   fleet.SetPlatformFault({{"mode", "ok"}});
-  const json sections = CallJson(http::verb::get, fleet.admin(),
-                                 "/v1/sections", nullptr, fleet.root_key());
+  const json sections = CallJson(http::verb::get, fleet.admin(), "/v1/sections",
+                                 nullptr, fleet.root_key());
   // Accepted edits are exactly the revisions in the store, but for those whose
   // outcome the editor was told is not known.
   uint64_t stored = 0;
@@ -137,9 +137,8 @@
   for (const json& section : sections.at("sections")) {
     const std::string name = section.at("name");
     revisions["section." + name] = section.at("revision");
-    stored += name.rfind("team", 0) == 0
-                  ? section.at("revision").get<uint64_t>()
-                  : 0;
+    stored +=
+        name.rfind("team", 0) == 0 ? section.at("revision").get<uint64_t>() : 0;
   }
   CHECK(accepted > 10);
   CHECK(stored >= static_cast<uint64_t>(accepted.load()));
@@ -179,8 +178,7 @@
   fleet.SetPlatformFault({{"mode", mode}});
   std::this_thread::sleep_for(Milliseconds(1000));
   REQUIRE(LastRunUs(fleet) > 0);
-  const json status = Withdraw(
-      fleet, key);
+  const json status = Withdraw(fleet, key);
   CAPTURE(status.dump());
   CHECK(status.at("in_force") == true);
   const int64_t withdrawn_us = LastRunUs(fleet);
@@ -364,8 +362,9 @@
         401);
   CHECK(status_of(http::verb::put, "/v1/sections/network", edit, key).status ==
         403);
-  CHECK(status_of(http::verb::put, "/v1/sections/workspaces", edit, key)
-            .status == 200);
+  CHECK(
+      status_of(http::verb::put, "/v1/sections/workspaces", edit, key).status ==
+      200);
   const HttpReply stale =
       status_of(http::verb::put, "/v1/sections/workspaces", edit, key);
   CHECK(stale.status == 409);
@@ -375,10 +374,9 @@
   broken["body"]["workspaces"][0]["may_call"] = {"nothing"};
   CHECK(status_of(http::verb::put, "/v1/sections/workspaces", broken, key)
             .status == 422);
-  const json rolled =
-      CallJson(http::verb::post, fleet.admin(),
-               "/v1/sections/workspaces/rollback",
-               {{"from_revision", 2}, {"to_revision", 1}}, key);
+  const json rolled = CallJson(http::verb::post, fleet.admin(),
+                               "/v1/sections/workspaces/rollback",
+                               {{"from_revision", 2}, {"to_revision", 1}}, key);
   CHECK(rolled.at("revision") == 3);
   for (const char* region : {"r1", "r2"}) {
     const HttpReply drained =
