--- a/src/budget/budgets.h
+++ b/src/budget/budgets.h
@@ -45,6 +45,15 @@
                                bool allow_stale,
                                const Yield& yield) = 0;
 
+  // Announces that a request will Acquire() soon, so that those that come after
+  // it are judged by the queue there will be. Fails as Acquire() does when the
+  // queue is too long already. Unreserve() before Acquire(), or instead of it.
+  virtual Result<void> Reserve(std::string_view name,
+                               double amount,
+                               TimePoint deadline,
+                               bool allow_stale) = 0;
+  virtual void Unreserve(std::string_view name, double amount) = 0;
+
   // Waits for tokens however long it takes; for pacing what must go on.
   // Returns false when the deadline passed first.
   virtual bool Pace(std::string_view name,
--- a/src/budget/internal/budget_account.h
+++ b/src/budget/internal/budget_account.h
@@ -30,6 +30,8 @@
   DemandMeter demand;
   std::deque<std::shared_ptr<TokenWaiter>> waiters;
   double waiting_amount = 0;
+  // Announced by requests that will ask for tokens soon.
+  double reserved_amount = 0;
   // Largest single amount asked for lately.
   double largest_amount = 0;
   TimePoint last_used;
--- a/src/budget/internal/share_budgets.cc
+++ b/src/budget/internal/share_budgets.cc
@@ -38,6 +38,12 @@
 constexpr Milliseconds kIdleTime{5000};
 constexpr Milliseconds kMaxRetryAfter{60'000};
 
+Failure StaleFailure() {
+  return NotRun(Errc::kStale,
+                "this instance has lost touch with the rest of the fleet",
+                Milliseconds(1000));
+}
+
 std::vector<BudgetSpec> SpecsOf(const SteeringDocument& document,
                                 const std::string& own_region) {
   std::vector<BudgetSpec> specs;
@@ -131,9 +137,7 @@
   BudgetAccount& account = found->second;
   const TimePoint now = Clock::now();
   if (!allow_stale && !freshness_->IsFresh(now)) {
-    return NotRun(Errc::kStale,
-                  "this instance has lost touch with the rest of the fleet",
-                  Milliseconds(1000));
+    return StaleFailure();
   }
   account.NoteDemand(amount, now);
   if (account.waiters.empty() && account.bucket.TrySpend(amount, now)) {
@@ -142,15 +146,8 @@
   }
   // Requests far beyond the rate are refused at once, before they queue: the
   // answer is final and says when to come back.
-  const double rate = std::max(account.bucket.Rate(), 1e-9);
-  const double wait_seconds = (account.waiting_amount + amount) / rate;
-  const double wait_limit =
-      ToSeconds(std::min<Clock::duration>(options_.max_wait, deadline - now));
-  const bool can_borrow = MayBorrow(found->first, account, now);
-  const bool hopeless = can_borrow ? account.waiting_amount + amount >
-                                         account.bucket.spec().rate * wait_limit
-                                   : wait_seconds > wait_limit;
-  if (hopeless || account.waiters.size() >= options_.max_waiters ||
+  if (Hopeless(found->first, account, amount, deadline, now) ||
+      account.waiters.size() >= options_.max_waiters ||
       !Wait(account, amount,
             std::min<TimePoint>(deadline, now + options_.max_wait), yield)) {
     return Refuse(account, amount, name);
@@ -158,6 +155,36 @@
   return boost::outcome_v2::success();
 }
 
+Result<void> ShareBudgets::Reserve(std::string_view name,
+                                   double amount,
+                                   TimePoint deadline,
+                                   bool allow_stale) {
+  const auto found = accounts_.find(name);
+  if (found == accounts_.end()) {
+    return boost::outcome_v2::success();
+  }
+  BudgetAccount& account = found->second;
+  const TimePoint now = Clock::now();
+  if (!allow_stale && !freshness_->IsFresh(now)) {
+    return StaleFailure();
+  }
+  const bool queued = !account.waiters.empty() || account.reserved_amount > 0 ||
+                      account.bucket.Tokens(now) < amount;
+  if (queued && Hopeless(found->first, account, amount, deadline, now)) {
+    account.NoteDemand(amount, now);
+    return Refuse(account, amount, name);
+  }
+  account.reserved_amount += amount;
+  return boost::outcome_v2::success();
+}
+
+void ShareBudgets::Unreserve(std::string_view name, double amount) {
+  const auto found = accounts_.find(name);
+  if (found != accounts_.end()) {
+    found->second.reserved_amount -= amount;
+  }
+}
+
 bool ShareBudgets::Pace(std::string_view name,
                         double amount,
                         TimePoint deadline,
@@ -282,6 +309,21 @@
   return false;
 }
 
+bool ShareBudgets::Hopeless(const std::string& name,
+                            BudgetAccount& account,
+                            double amount,
+                            TimePoint deadline,
+                            TimePoint now) {
+  const double wait_limit =
+      ToSeconds(std::min<Clock::duration>(options_.max_wait, deadline - now));
+  // Where more can be borrowed, the whole rate may come; else only what is
+  // held here.
+  const double rate = MayBorrow(name, account, now) ? account.bucket.spec().rate
+                                                    : account.bucket.Rate();
+  return account.waiting_amount + account.reserved_amount + amount >
+         rate * wait_limit + account.bucket.Tokens(now);
+}
+
 Failure ShareBudgets::Refuse(BudgetAccount& account,
                              double amount,
                              std::string_view name) {
--- a/src/budget/internal/share_budgets.h
+++ b/src/budget/internal/share_budgets.h
@@ -50,6 +50,11 @@
                        TimePoint deadline,
                        bool allow_stale,
                        const Yield& yield) override;
+  Result<void> Reserve(std::string_view name,
+                       double amount,
+                       TimePoint deadline,
+                       bool allow_stale) override;
+  void Unreserve(std::string_view name, double amount) override;
   bool Pace(std::string_view name,
             double amount,
             TimePoint deadline,
@@ -75,6 +80,12 @@
             double amount,
             TimePoint deadline,
             const Yield& yield);
+  // Returns whether a request cannot get its tokens in time.
+  bool Hopeless(const std::string& name,
+                BudgetAccount& account,
+                double amount,
+                TimePoint deadline,
+                TimePoint now);
   Failure Refuse(BudgetAccount& account, double amount, std::string_view name);
   // Returns whether more of a budget may still come from peers.
   bool MayBorrow(const std::string& name,
--- a/src/delivery/internal/request_carrier.cc
+++ b/src/delivery/internal/request_carrier.cc
@@ -65,6 +65,15 @@
   }
 }
 
+// Names the budget that is full in a refusal.
+Result<void> FullAs(Errc when_full, const Result<void>& admitted) {
+  if (!admitted && admitted.error().errc == Errc::kRateExceeded) {
+    return NotRun(when_full, admitted.error().detail,
+                  admitted.error().retry_after);
+  }
+  return admitted;
+}
+
 uint64_t Fingerprint(const RequestContext& context,
                      std::string_view method,
                      std::string_view body) {
@@ -239,28 +248,34 @@
       std::min(kMaxLinkEstimate,
                kHeaderBytes +
                    static_cast<double>(context.route->expected_response_bytes));
+  const std::string region_budget = RegionBudgetName(own);
   Result<void> admitted =
-      Admit(RegionBudgetName(own), 1, Errc::kRegionFull, context, yield);
-  if (admitted && !response_link.empty()) {
-    admitted = Admit(response_link, response_estimate, Errc::kLinkFull, context,
-                     yield);
-  }
+      FullAs(Errc::kRegionFull,
+             services_.budgets->Reserve(region_budget, 1, context.deadline,
+                                        context.allow_stale()));
   if (!admitted) {
     delivery.tried_regions.insert(own);
     return admitted;
   }
-  SlotRequest wanted;
-  wanted.service = context.service->name;
-  wanted.workspace = context.workspace_name();
-  wanted.weight = context.weight();
-  wanted.deadline = context.deadline;
-  wanted.exclude = delivery.tried_targets;
-  wanted.avoid_failure_domain = delivery.last_failure_domain;
-  Result<TargetLease> lease = services_.router->AcquireSlot(wanted, yield);
+  Result<TargetLease> lease = AcquireSlot(delivery, yield);
+  services_.budgets->Unreserve(region_budget, 1);
   if (!lease) {
     delivery.tried_regions.insert(own);
     return lease.error();
   }
+  // The region's token is taken last, so that what was admitted goes to its
+  // target at once.
+  if (!response_link.empty()) {
+    admitted = Admit(response_link, response_estimate, Errc::kLinkFull, context,
+                     yield);
+  }
+  if (admitted) {
+    admitted = Admit(region_budget, 1, Errc::kRegionFull, context, yield);
+  }
+  if (!admitted) {
+    delivery.tried_regions.insert(own);
+    return admitted;
+  }
   const Target& target = lease.value().state().target();
   delivery.tried_targets.insert(target.name);
   delivery.last_failure_domain = target.failure_domain;
@@ -281,18 +296,27 @@
   return result;
 }
 
+Result<TargetLease> RequestCarrier::AcquireSlot(const Delivery& delivery,
+                                                const Yield& yield) {
+  const RequestContext& context = delivery.context;
+  SlotRequest wanted;
+  wanted.service = context.service->name;
+  wanted.workspace = context.workspace_name();
+  wanted.weight = context.weight();
+  wanted.deadline = context.deadline;
+  wanted.exclude = delivery.tried_targets;
+  wanted.avoid_failure_domain = delivery.last_failure_domain;
+  return services_.router->AcquireSlot(wanted, yield);
+}
+
 Result<void> RequestCarrier::Admit(const std::string& budget,
                                    double amount,
                                    Errc when_full,
                                    const RequestContext& context,
                                    const Yield& yield) {
-  const Result<void> admitted = services_.budgets->Acquire(
-      budget, amount, context.deadline, context.allow_stale(), yield);
-  if (!admitted && admitted.error().errc == Errc::kRateExceeded) {
-    return NotRun(when_full, admitted.error().detail,
-                  admitted.error().retry_after);
-  }
-  return admitted;
+  return FullAs(when_full,
+                services_.budgets->Acquire(budget, amount, context.deadline,
+                                           context.allow_stale(), yield));
 }
 
 std::string RequestCarrier::ResponseLink(const RequestContext& context) const {
--- a/src/delivery/internal/request_carrier.h
+++ b/src/delivery/internal/request_carrier.h
@@ -88,6 +88,7 @@
   // Names the region for the next try; nothing when none is left.
   std::optional<std::string> ChooseRegion(const Delivery& delivery) const;
 
+  Result<TargetLease> AcquireSlot(const Delivery& delivery, const Yield& yield);
   // Spends from a budget; when it is full, fails with `when_full`.
   Result<void> Admit(const std::string& budget,
                      double amount,
--- a/src/delivery/internal/upstream_attempt.cc
+++ b/src/delivery/internal/upstream_attempt.cc
@@ -60,6 +60,11 @@
 Result<void> UpstreamAttempt::Send(RequestBody& body, const Yield& yield) {
   attempt_id_ = RandomHex(kAttemptIdBytes);
   plan_.header.set(BeastView(kAttemptField), attempt_id_);
+  if (!Pace(plan_.request_link, &plan_.request_prepaid, body.held().size(),
+            plan_.deadline, yield)) {
+    return NotRun(Errc::kLinkFull, "the link has no room in time",
+                  Milliseconds(1000));
+  }
   Result<void> sent =
       connection_->BeginRequest(std::move(plan_.header), body.held().data(),
                                 body.held().size(), body.whole(), yield);
@@ -72,8 +77,11 @@
           piece.error().errc, Verdict::kMayHaveRun, piece.error().detail, {}};
     }
     last = piece.value().empty();
-    Pace(plan_.request_link, &plan_.request_prepaid, piece.value().size(),
-         plan_.deadline, yield);
+    if (!Pace(plan_.request_link, &plan_.request_prepaid, piece.value().size(),
+              plan_.deadline, yield)) {
+      connection_->Abort();
+      return MayHaveRun(Errc::kDeadlinePassed, "the link has no room in time");
+    }
     sent = connection_->WriteBody(piece.value().data(), piece.value().size(),
                                   last, yield);
   }
@@ -201,8 +209,14 @@
   size_t uncharged_header = kHeaderBytes;
   while (true) {
     const bool last = connection_->body_done();
-    Pace(plan_.response_link, &plan_.response_prepaid,
-         piece.size() + std::exchange(uncharged_header, 0), end, yield);
+    const bool paced =
+        Pace(plan_.response_link, &plan_.response_prepaid,
+             piece.size() + std::exchange(uncharged_header, 0), end, yield);
+    if (!paced) {
+      connection_->Abort();
+      exchange.Break();
+      return;
+    }
     if (!exchange.WriteBody(piece.data(), piece.size(), last, yield)) {
       connection_->Abort();
       return;
@@ -226,13 +240,13 @@
   }
 }
 
-void UpstreamAttempt::Pace(const std::string& link,
+bool UpstreamAttempt::Pace(const std::string& link,
                            double* prepaid,
                            size_t bytes,
                            TimePoint deadline,
                            const Yield& yield) {
   if (link.empty()) {
-    return;
+    return true;
   }
   double left = static_cast<double>(bytes);
   const double used = std::min(*prepaid, left);
@@ -240,9 +254,12 @@
   left -= used;
   while (left > 0) {
     const double piece = std::min<double>(left, kPiece);
-    budgets_.Pace(link, piece, deadline, yield);
+    if (!budgets_.Pace(link, piece, deadline, yield)) {
+      return false;
+    }
     left -= piece;
   }
+  return true;
 }
 
 ResponseHeader UpstreamAttempt::CallerHeader() const {
--- a/src/delivery/internal/upstream_attempt.h
+++ b/src/delivery/internal/upstream_attempt.h
@@ -70,8 +70,9 @@
   void StreamRest(HttpExchange& exchange,
                   std::string_view held,
                   const Yield& yield);
-  // Waits until a link has room for what is not prepaid.
-  void Pace(const std::string& link,
+  // Waits until a link has room for what is not prepaid; false when that takes
+  // too long.
+  bool Pace(const std::string& link,
             double* prepaid,
             size_t bytes,
             TimePoint deadline,
--- a/testing/fault_proxy/links.cc
+++ b/testing/fault_proxy/links.cc
@@ -152,7 +152,6 @@
     }
     boost::system::error_code ec;
     boost::asio::async_write(sink_, boost::asio::buffer(bytes), yield[ec]);
-    proxy_.CountBytes(from_, to_, bytes.size());
     delivered_ += bytes.size();
     if (ec || resets) {
       if (resets) {
--- a/testing/integration/link_test_fleet.cc
+++ b/testing/integration/link_test_fleet.cc
@@ -86,7 +86,7 @@
       continue;
     }
     const double worst = WorstSecond(meter.at("tenths"));
-    CAPTURE(from, to, worst);
+    CAPTURE(from, to, worst, meter.at("tenths").dump());
     CHECK(worst <= kCapBytes);
     busiest = std::max(busiest, worst);
   }
