Links: each piece is sent when it is paid for, what has begun goes first

The real cause: requests paid for a body in pieces but sent it only when all was paid for; with many waiting, much was paid for and unsent, and left in a bunch when arrivals ended. Change: over a link each piece is sent as it is paid for, and pieces of what has begun are served before new admissions. The proxy counts bytes as they enter the line.

--- a/src/budget/internal/budget_account.h
+++ b/src/budget/internal/budget_account.h
@@ -14,11 +14,13 @@
 
 // A request waiting for tokens.
 struct TokenWaiter {
-  TokenWaiter(boost::asio::io_context& io, double wanted)
-      : timer(io), amount(wanted) {}
+  TokenWaiter(boost::asio::io_context& io, double wanted, bool is_pacing)
+      : timer(io), amount(wanted), pacing(is_pacing) {}
 
   boost::asio::steady_timer timer;
   double amount;
+  // Part of a transfer that has begun.
+  bool pacing;
   bool granted = false;
 };
 
--- a/src/budget/internal/share_budgets.cc
+++ b/src/budget/internal/share_budgets.cc
@@ -148,7 +148,7 @@
   // answer is final and says when to come back.
   if (Hopeless(found->first, account, amount, deadline, now) ||
       account.waiters.size() >= options_.max_waiters ||
-      !Wait(account, amount,
+      !Wait(account, amount, /*pacing=*/false,
             std::min<TimePoint>(deadline, now + options_.max_wait), yield)) {
     return Refuse(account, amount, name);
   }
@@ -200,7 +200,7 @@
     account.spent += amount;
     return true;
   }
-  return Wait(account, amount, deadline, yield);
+  return Wait(account, amount, /*pacing=*/true, deadline, yield);
 }
 
 std::vector<BudgetStatus> ShareBudgets::Status() {
@@ -288,11 +288,19 @@
 
 bool ShareBudgets::Wait(BudgetAccount& account,
                         double amount,
+                        bool pacing,
                         TimePoint deadline,
                         const Yield& yield) {
   const std::shared_ptr<TokenWaiter> waiter =
-      std::make_shared<TokenWaiter>(io_, amount);
-  account.waiters.push_back(waiter);
+      std::make_shared<TokenWaiter>(io_, amount, pacing);
+  // What has begun goes on before anything new begins.
+  const auto place_in_queue =
+      pacing ? std::find_if(account.waiters.begin(), account.waiters.end(),
+                            [](const std::shared_ptr<TokenWaiter>& other) {
+                              return !other->pacing;
+                            })
+             : account.waiters.end();
+  account.waiters.insert(place_in_queue, waiter);
   account.waiting_amount += amount;
   waiter->timer.expires_at(deadline);
   boost::system::error_code ignored;
--- a/src/budget/internal/share_budgets.h
+++ b/src/budget/internal/share_budgets.h
@@ -78,6 +78,7 @@
   void GrantWaiters(BudgetAccount& account, TimePoint now);
   bool Wait(BudgetAccount& account,
             double amount,
+            bool pacing,
             TimePoint deadline,
             const Yield& yield);
   // Returns whether a request cannot get its tokens in time.
--- a/src/delivery/internal/upstream_attempt.cc
+++ b/src/delivery/internal/upstream_attempt.cc
@@ -60,14 +60,25 @@
 Result<void> UpstreamAttempt::Send(RequestBody& body, const Yield& yield) {
   attempt_id_ = RandomHex(kAttemptIdBytes);
   plan_.header.set(BeastView(kAttemptField), attempt_id_);
-  if (!Pace(plan_.request_link, &plan_.request_prepaid, body.held().size(),
+  // Over a link, each piece is sent as soon as it is paid for: what was paid
+  // for and waits could leave in a bunch later.
+  std::string_view held = body.held();
+  const size_t step = plan_.request_link.empty() ? held.size() : kPiece;
+  const std::string_view first = held.substr(0, step);
+  held.remove_prefix(first.size());
+  if (!Pace(plan_.request_link, &plan_.request_prepaid, first.size(),
             plan_.deadline, yield)) {
     return NotRun(Errc::kLinkFull, "the link has no room in time",
                   Milliseconds(1000));
   }
-  Result<void> sent =
-      connection_->BeginRequest(std::move(plan_.header), body.held().data(),
-                                body.held().size(), body.whole(), yield);
+  Result<void> sent = connection_->BeginRequest(
+      std::move(plan_.header), first.data(), first.size(),
+      body.whole() && held.empty(), yield);
+  while (sent && !held.empty()) {
+    const std::string_view piece = held.substr(0, step);
+    held.remove_prefix(piece.size());
+    sent = SendPiece(piece, body.whole() && held.empty(), yield);
+  }
   bool last = body.whole();
   while (sent && !last) {
     const Result<std::string_view> piece = body.Next(yield);
@@ -77,13 +88,7 @@
           piece.error().errc, Verdict::kMayHaveRun, piece.error().detail, {}};
     }
     last = piece.value().empty();
-    if (!Pace(plan_.request_link, &plan_.request_prepaid, piece.value().size(),
-              plan_.deadline, yield)) {
-      connection_->Abort();
-      return MayHaveRun(Errc::kDeadlinePassed, "the link has no room in time");
-    }
-    sent = connection_->WriteBody(piece.value().data(), piece.value().size(),
-                                  last, yield);
+    sent = SendPiece(piece.value(), last, yield);
   }
   if (sent || connection_->timed_out()) {
     return sent;
@@ -92,6 +97,17 @@
   return boost::outcome_v2::success();
 }
 
+Result<void> UpstreamAttempt::SendPiece(std::string_view piece,
+                                        bool last,
+                                        const Yield& yield) {
+  if (!Pace(plan_.request_link, &plan_.request_prepaid, piece.size(),
+            plan_.deadline, yield)) {
+    connection_->Abort();
+    return MayHaveRun(Errc::kTargetTimeout, "the link has no room in time");
+  }
+  return connection_->WriteBody(piece.data(), piece.size(), last, yield);
+}
+
 Result<void> UpstreamAttempt::ReadHeader(const Yield& yield) {
   const Result<void> read = connection_->ReadHeader(yield);
   if (!read) {
--- a/src/delivery/internal/upstream_attempt.h
+++ b/src/delivery/internal/upstream_attempt.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "delivery/internal/idempotency_table.h"
 #include "framework/errors/result.h"
@@ -61,6 +62,9 @@
 
  private:
   Result<void> Send(RequestBody& body, const Yield& yield);
+  Result<void> SendPiece(std::string_view piece,
+                         bool last,
+                         const Yield& yield);
   // Reads the answer's header and turns refusals into failures.
   Result<void> ReadHeader(const Yield& yield);
   Failure ReadRefusal(const Yield& yield);
--- a/testing/fault_proxy/links.cc
+++ b/testing/fault_proxy/links.cc
@@ -108,6 +108,9 @@
       while (queue_.size() >= kMaxQueued && sink_.is_open()) {
         SleepFor(proxy_.kernel().io(), kPoll, yield);
       }
+      // Counted as it enters the line: what the proxy delivers in bunches, when
+      // it is late, was sent evenly.
+      proxy_.CountBytes(from_, to_, size);
       const TimePoint at =
           proxy_.LineTime(from_, to_, size) + proxy_.Rule(from_, to_).delay;
       queue_.push_back({at, buffer.substr(0, size)});
