--- a/src/config/internal/key_shard.cc
+++ b/src/config/internal/key_shard.cc
@@ -57,9 +57,11 @@
     return withdrawals;
   }
   for (const json& item : spec.at("withdrawals")) {
-    if (item.is_object() && item.contains("key_id")) {
-      withdrawals.push_back({item.value("key_id", ""), item.value("by", ""),
+    try {
+      withdrawals.push_back({item.at("key_id"), item.value("by", ""),
                              item.value("at_ms", int64_t{0})});
+    } catch (const json::exception&) {
+      continue;
     }
   }
   return withdrawals;
--- a/src/config/internal/listing_codec.cc
+++ b/src/config/internal/listing_codec.cc
@@ -27,12 +27,18 @@
   list.version = entry.revision;
   const json items =
       json::parse(entry.body, nullptr, /*allow_exceptions=*/false);
+  if (!items.is_array()) {
+    return list;
+  }
   for (const json& item : items) {
-    list.instances.push_back({item.value("name", ""), item.value("service", ""),
-                              item.value("region", ""),
-                              item.value("failure_domain", ""),
-                              item.value("http", ""), item.value("peer", ""),
-                              item.value("leaving", false)});
+    try {
+      list.instances.push_back({item.at("name"), item.at("service"),
+                                item.at("region"), item.at("failure_domain"),
+                                item.at("http"), item.at("peer"),
+                                item.at("leaving")});
+    } catch (const json::exception&) {
+      continue;
+    }
   }
   return list;
 }
--- a/src/framework/http/internal/refusal.cc
+++ b/src/framework/http/internal/refusal.cc
@@ -18,6 +18,18 @@
       (failure.retry_after.count() + kMillisPerSecond - 1) / kMillisPerSecond);
 }
 
+// Throws nlohmann::json::exception when a field is of another type.
+void ReadRefusal(const nlohmann::json& json, Failure* failure) {
+  failure->errc = ErrcFromName(json.value("error", ""));
+  failure->detail = json.value("detail", "");
+  failure->retry_after = Milliseconds(json.value("retry_after_ms", 0));
+  const std::string verdict = json.value("verdict", "");
+  failure->verdict = verdict == VerdictName(Verdict::kNotRun) ? Verdict::kNotRun
+                     : verdict == VerdictName(Verdict::kRan)
+                         ? Verdict::kRan
+                         : Verdict::kMayHaveRun;
+}
+
 }  // namespace
 
 std::string RefusalBody(const Failure& failure) {
@@ -63,19 +75,17 @@
 Failure ParseRefusal(unsigned status, const std::string& body) {
   const nlohmann::json json =
       nlohmann::json::parse(body, nullptr, /*allow_exceptions=*/false);
+  const Failure no_refusal = MayHaveRun(
+      Errc::kInternal, fmt::format("status {} without an error name", status));
   if (!json.is_object() || !json.contains("error")) {
-    return MayHaveRun(Errc::kInternal,
-                      fmt::format("status {} without an error name", status));
+    return no_refusal;
   }
   Failure failure;
-  failure.errc = ErrcFromName(json.value("error", ""));
-  failure.detail = json.value("detail", "");
-  failure.retry_after = Milliseconds(json.value("retry_after_ms", 0));
-  const std::string verdict = json.value("verdict", "");
-  failure.verdict = verdict == VerdictName(Verdict::kNotRun) ? Verdict::kNotRun
-                    : verdict == VerdictName(Verdict::kRan)
-                        ? Verdict::kRan
-                        : Verdict::kMayHaveRun;
+  try {
+    ReadRefusal(json, &failure);
+  } catch (const nlohmann::json::exception&) {
+    return no_refusal;
+  }
   return failure;
 }
 
