--- a/apps/program_options.h
+++ b/apps/program_options.h
@@ -1,12 +1,16 @@
 #ifndef REDWING_APPS_PROGRAM_OPTIONS_H_
 #define REDWING_APPS_PROGRAM_OPTIONS_H_
 
+#include <fmt/format.h>
+#include <sodium.h>
 #include <spdlog/spdlog.h>
 
 #include <CLI/CLI.hpp>
 #include <cstdio>
 #include <cstdlib>
+#include <exception>
 #include <string>
+#include <string_view>
 
 namespace redwing {
 
@@ -38,6 +42,22 @@
   }
 }
 
+// Runs a program: sets libsodium up and turns exceptions into an exit code.
+inline int RunProgram(std::string_view name,
+                      int (*run)(int argc, char** argv),
+                      int argc,
+                      char** argv) {
+  if (sodium_init() < 0) {
+    return kExitFailed;
+  }
+  try {
+    return run(argc, argv);
+  } catch (const std::exception& exception) {
+    fmt::print(stderr, "{}: {}\n", name, exception.what());
+    return kExitFailed;
+  }
+}
+
 // Ends a daemon whose event loop has stopped. Destructors are skipped:
 // coroutines still suspended would be unwound while the objects that they
 // refer to are being destroyed.
--- a/apps/redwing_admin.cc
+++ b/apps/redwing_admin.cc
@@ -1,9 +1,6 @@
 // redwing-admin: the administration API, beside each entry instance.
 
 #include <fmt/format.h>
-#include <sodium.h>
-
-#include <exception>
 
 #include "admin/admin_module.h"
 #include "apps/program_options.h"
@@ -50,13 +47,5 @@
 }  // namespace redwing
 
 int main(int argc, char** argv) {
-  if (sodium_init() < 0) {
-    return redwing::kExitFailed;
-  }
-  try {
-    return redwing::Run(argc, argv);
-  } catch (const std::exception& exception) {
-    fmt::print(stderr, "redwing-admin: {}\n", exception.what());
-    return redwing::kExitFailed;
-  }
+  return redwing::RunProgram("redwing-admin", &redwing::Run, argc, argv);
 }
--- a/apps/redwing_ctl.cc
+++ b/apps/redwing_ctl.cc
@@ -1,11 +1,9 @@
 // redwing-ctl: an operator's command line.
 
 #include <fmt/format.h>
-#include <sodium.h>
 
 #include <chrono>
 #include <cstdlib>
-#include <exception>
 #include <functional>
 #include <thread>
 
@@ -379,18 +377,15 @@
   Command chosen_ = nullptr;
 };
 
+int RunCommandLine(int argc, char** argv) {
+  return CommandLine().Run(argc, argv);
+}
+
 }  // namespace
 
 }  // namespace redwing
 
 int main(int argc, char** argv) {
-  if (sodium_init() < 0) {
-    return redwing::kExitFailed;
-  }
-  try {
-    return redwing::CommandLine().Run(argc, argv);
-  } catch (const std::exception& exception) {
-    fmt::print(stderr, "redwing-ctl: {}\n", exception.what());
-    return redwing::kExitFailed;
-  }
+  return redwing::RunProgram("redwing-ctl", &redwing::RunCommandLine, argc,
+                             argv);
 }
--- a/apps/redwing_entry.cc
+++ b/apps/redwing_entry.cc
@@ -1,9 +1,6 @@
 // redwing-entry: an entry instance between callers and targets.
 
 #include <fmt/format.h>
-#include <sodium.h>
-
-#include <exception>
 
 #include "apps/program_options.h"
 #include "budget/budget_module.h"
@@ -92,13 +89,5 @@
 }  // namespace redwing
 
 int main(int argc, char** argv) {
-  if (sodium_init() < 0) {
-    return redwing::kExitFailed;
-  }
-  try {
-    return redwing::Run(argc, argv);
-  } catch (const std::exception& exception) {
-    fmt::print(stderr, "redwing-entry: {}\n", exception.what());
-    return redwing::kExitFailed;
-  }
+  return redwing::RunProgram("redwing-entry", &redwing::Run, argc, argv);
 }
--- a/apps/redwing_load.cc
+++ b/apps/redwing_load.cc
@@ -1,9 +1,7 @@
 // redwing-load: callers with a stated load, and a report.
 
 #include <fmt/format.h>
-#include <sodium.h>
 
-#include <exception>
 #include <fstream>
 
 #include "apps/program_options.h"
@@ -49,13 +47,5 @@
 }  // namespace redwing
 
 int main(int argc, char** argv) {
-  if (sodium_init() < 0) {
-    return redwing::kExitFailed;
-  }
-  try {
-    return redwing::Run(argc, argv);
-  } catch (const std::exception& exception) {
-    fmt::print(stderr, "redwing-load: {}\n", exception.what());
-    return redwing::kExitFailed;
-  }
+  return redwing::RunProgram("redwing-load", &redwing::Run, argc, argv);
 }
--- a/src/config/internal/store_watcher.cc
+++ b/src/config/internal/store_watcher.cc
@@ -60,7 +60,7 @@
 
 bool StoreWatcher::is_watcher() const {
   const uint64_t own = RendezvousScore(identity_->region, identity_->name);
-  const auto before = std::count_if(
+  const std::ptrdiff_t before = std::count_if(
       membership_->members().begin(), membership_->members().end(),
       [this, own](const Membership::MemberMap::value_type& item) {
         const Member& member = item.second;
--- a/src/delivery/internal/upstream_attempt.h
+++ b/src/delivery/internal/upstream_attempt.h
@@ -62,9 +62,7 @@
 
  private:
   Result<void> Send(RequestBody& body, const Yield& yield);
-  Result<void> SendPiece(std::string_view piece,
-                         bool last,
-                         const Yield& yield);
+  Result<void> SendPiece(std::string_view piece, bool last, const Yield& yield);
   // Reads the answer's header and turns refusals into failures.
   Result<void> ReadHeader(const Yield& yield);
   Failure ReadRefusal(const Yield& yield);
--- a/src/membership/internal/heartbeat_membership.cc
+++ b/src/membership/internal/heartbeat_membership.cc
@@ -101,7 +101,7 @@
   if (!list_known_) {
     return 0;
   }
-  const auto listed = std::count_if(
+  const std::ptrdiff_t listed = std::count_if(
       members_.begin(), members_.end(),
       [](const MemberMap::value_type& item) { return item.second.listed; });
   return static_cast<size_t>(listed) + 1;
--- a/testing/bench/bench.cc
+++ b/testing/bench/bench.cc
@@ -4,7 +4,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <exception>
 #include <functional>
 #include <map>
 #include <thread>
@@ -374,10 +373,6 @@
 }  // namespace redwing::testing
 
 int main(int argc, char** argv) {
-  try {
-    return redwing::testing::Run(argc, argv);
-  } catch (const std::exception& exception) {
-    fmt::print(stderr, "redwing-bench: {}\n", exception.what());
-    return redwing::kExitFailed;
-  }
+  return redwing::RunProgram("redwing-bench", &redwing::testing::Run, argc,
+                             argv);
 }
--- a/testing/demo/demo.cc
+++ b/testing/demo/demo.cc
@@ -2,7 +2,6 @@
 
 #include <fmt/format.h>
 
-#include <exception>
 #include <map>
 
 #include "apps/program_options.h"
@@ -105,10 +104,6 @@
 }  // namespace redwing::testing
 
 int main(int argc, char** argv) {
-  try {
-    return redwing::testing::Run(argc, argv);
-  } catch (const std::exception& exception) {
-    fmt::print(stderr, "redwing-demo: {}\n", exception.what());
-    return redwing::kExitFailed;
-  }
+  return redwing::RunProgram("redwing-demo", &redwing::testing::Run, argc,
+                             argv);
 }
--- a/testing/fake_platform/fake_platform.h
+++ b/testing/fake_platform/fake_platform.h
@@ -23,6 +23,9 @@
 // it slow, take it down, or let answers get lost after the write.
 class FakePlatform : public HttpHandler {
  public:
+  static constexpr const char* kDescription =
+      "Stand-in for the platform's object API.";
+
   FakePlatform(Kernel& kernel, ObjectReader& settings);
 
   void Listen();
--- a/testing/fake_platform/main.cc
+++ b/testing/fake_platform/main.cc
@@ -2,6 +2,8 @@
 #include "testing/stand_in_main.h"
 
 int main(int argc, char** argv) {
-  return redwing::testing::StandInMain<redwing::testing::FakePlatform>(
-      argc, argv, "Stand-in for the platform's object API.");
+  return redwing::RunProgram(
+      "fake-platform",
+      &redwing::testing::RunStandIn<redwing::testing::FakePlatform>, argc,
+      argv);
 }
--- a/testing/fake_target/fake_target.h
+++ b/testing/fake_target/fake_target.h
@@ -46,6 +46,8 @@
 // stamped by one clock.
 class FakeTargets {
  public:
+  static constexpr const char* kDescription = "Stand-in for targets.";
+
   FakeTargets(Kernel& kernel, ObjectReader& settings);
   ~FakeTargets();
 
--- a/testing/fake_target/main.cc
+++ b/testing/fake_target/main.cc
@@ -2,6 +2,7 @@
 #include "testing/stand_in_main.h"
 
 int main(int argc, char** argv) {
-  return redwing::testing::StandInMain<redwing::testing::FakeTargets>(
-      argc, argv, "Stand-in for targets.");
+  return redwing::RunProgram(
+      "fake-target",
+      &redwing::testing::RunStandIn<redwing::testing::FakeTargets>, argc, argv);
 }
--- a/testing/fault_proxy/fault_proxy.h
+++ b/testing/fault_proxy/fault_proxy.h
@@ -48,6 +48,9 @@
 // control calls.
 class FaultProxy : public HttpHandler {
  public:
+  static constexpr const char* kDescription =
+      "Forwards TCP and UDP and disturbs them.";
+
   FaultProxy(Kernel& kernel, ObjectReader& settings);
   ~FaultProxy() override;
 
--- a/testing/fault_proxy/main.cc
+++ b/testing/fault_proxy/main.cc
@@ -2,6 +2,7 @@
 #include "testing/stand_in_main.h"
 
 int main(int argc, char** argv) {
-  return redwing::testing::StandInMain<redwing::testing::FaultProxy>(
-      argc, argv, "Forwards TCP and UDP and disturbs them.");
+  return redwing::RunProgram(
+      "fault-proxy",
+      &redwing::testing::RunStandIn<redwing::testing::FaultProxy>, argc, argv);
 }
--- a/testing/fuzz/fuzz.cc
+++ b/testing/fuzz/fuzz.cc
@@ -2,7 +2,6 @@
 // heads, settings, documents, peer messages. Meant to run with sanitizers.
 
 #include <fmt/format.h>
-#include <sodium.h>
 
 #include <array>
 #include <boost/beast/http/parser.hpp>
@@ -200,8 +199,6 @@
 }  // namespace redwing::testing
 
 int main(int argc, char** argv) {
-  if (sodium_init() < 0) {
-    return redwing::kExitFailed;
-  }
-  return redwing::testing::Run(argc, argv);
+  return redwing::RunProgram("redwing-fuzz", &redwing::testing::Run, argc,
+                             argv);
 }
--- a/testing/stand_in_main.h
+++ b/testing/stand_in_main.h
@@ -2,9 +2,7 @@
 #define REDWING_TESTING_STAND_IN_MAIN_H_
 
 #include <fmt/format.h>
-#include <sodium.h>
 
-#include <exception>
 #include <string>
 
 #include "apps/program_options.h"
@@ -18,8 +16,8 @@
 // it, checks the settings, and runs the event loop. `start` returns the object
 // to keep alive; it calls Listen() on it and prints where it listens.
 template <typename Server>
-int RunStandIn(int argc, char** argv, const char* description) {
-  CLI::App app(description);
+int RunStandIn(int argc, char** argv) {
+  CLI::App app(Server::kDescription);
   AddCommonOptions(app);
   std::string path;
   app.add_option("--settings", path, "Settings file, JSON with comments")
@@ -48,20 +46,6 @@
   EndDaemon();
 }
 
-// Calls RunStandIn() and turns exceptions into an exit code.
-template <typename Server>
-int StandInMain(int argc, char** argv, const char* description) {
-  if (sodium_init() < 0) {
-    return kExitFailed;
-  }
-  try {
-    return RunStandIn<Server>(argc, argv, description);
-  } catch (const std::exception& exception) {
-    fmt::print(stderr, "{}: {}\n", argv[0], exception.what());
-    return kExitFailed;
-  }
-}
-
 // Prints one line of JSON that tells a test where the process listens.
 inline void Announce(const nlohmann::json& addresses) {
   fmt::print("{}\n", addresses.dump());
