--- a/src/framework/wire/bounded_input_archive.h
+++ b/src/framework/wire/bounded_input_archive.h
@@ -47,6 +47,14 @@
   archive.LoadBytes(&value, sizeof(value));
 }
 
+// Any byte but 0 counts as true: another value in a bool is undefined.
+inline void CEREAL_LOAD_FUNCTION_NAME(BoundedInputArchive& archive,
+                                      bool& value) {
+  unsigned char byte = 0;
+  archive.LoadBytes(&byte, sizeof(byte));
+  value = byte != 0;
+}
+
 template <typename T>
 void CEREAL_LOAD_FUNCTION_NAME(BoundedInputArchive& archive,
                                cereal::BinaryData<T>& data) {
