--- a/src/admin/internal/admin_handler.cc
+++ b/src/admin/internal/admin_handler.cc
@@ -138,12 +138,10 @@
   if (url.path.compare(0, kApiPrefix.size(), kApiPrefix) != 0) {
     return NotRun(Errc::kUnknownRoute, "no such path");
   }
-  const std::string method = std::string(exchange.method());
-  Call call{url,
-            method,
-            Split(std::string_view(url.path).substr(kApiPrefix.size())),
-            {},
-            {}};
+  const std::string_view path = url.path;
+  Call call{url, "", {}, {}, {}};
+  call.method = exchange.method();
+  call.segments = Split(path.substr(kApiPrefix.size()));
   const auto matches = [&call](const Route& route) {
     return std::equal(route.pattern.begin(), route.pattern.end(),
                       call.segments.begin(), call.segments.end(),
--- a/src/framework/kernel/sleep.h
+++ b/src/framework/kernel/sleep.h
@@ -12,7 +12,7 @@
 // Suspends the running coroutine.
 inline void SleepFor(boost::asio::io_context& io,
                      Clock::duration duration,
-                     boost::asio::yield_context yield) {
+                     const boost::asio::yield_context& yield) {
   boost::asio::steady_timer timer(io, duration);
   boost::system::error_code ignored;
   timer.async_wait(yield[ignored]);
