A small chunked request body goes to the target framed

Found on reading the change again. Cause: the target's header got its transfer coding only while the caller's body was unread, but bodies up to 64 KB are read ahead before it is built, so they left with neither length nor chunks and a target could take them for another request. Change: the caller's own header decides. A test sends such a body; the bad-chunk test and it pass. The whole suite was not run again.

--- a/src/delivery/internal/request_admitter.cc
+++ b/src/delivery/internal/request_admitter.cc
@@ -97,7 +97,8 @@
   if (context.workspace != nullptr) {
     header.set(BeastView(kWorkspaceField), context.workspace->name);
   }
-  if (exchange.has_body() && !exchange.content_length()) {
+  // By the caller's own header: a small body has been read ahead by now.
+  if (exchange.request().count(http::field::transfer_encoding) > 0) {
     header.set(http::field::transfer_encoding, "chunked");
   }
   return header;
--- a/testing/integration/http_test_fleet.cc
+++ b/testing/integration/http_test_fleet.cc
@@ -168,6 +168,16 @@
   CHECK(CountOf(old, "HTTP/1.1 200") == 1);
 }
 
+TEST_CASE("a small chunked body reaches the target framed") {
+  const std::string answer =
+      Send(Request("POST /v1/services/svc/x",
+                   Auth() + "X-Token: chunked\r\nConnection: close\r\n"
+                            "Transfer-Encoding: chunked\r\n",
+                   "5\r\nabcde\r\n0\r\n\r\n"));
+  CHECK(answer.rfind("HTTP/1.1 200", 0) == 0);
+  CHECK(answer.find("chunked\n") != std::string::npos);
+}
+
 TEST_CASE("no target sees a key, and nobody names its own workspace") {
   const std::string& key = Shared().key;
   const std::vector<std::string> places = {
