--- a/testing/fake_target/fake_target.cc
+++ b/testing/fake_target/fake_target.cc
@@ -239,6 +239,14 @@
   header.set("X-Load", fmt::format("{}/{}", used_, behaviour_.slots));
   header.set("X-Redwing-Attempt",
              BeastView(exchange.Header("X-Redwing-Attempt")));
+  if (mode == "truncate_chunked") {
+    exchange.BeginResponse(std::move(header));
+    exchange.WriteBody(body.data(), body.size() / 2, false, yield);
+    // Lets what was sent arrive before the end.
+    SleepFor(owner_.kernel().io(), Milliseconds(20), yield);
+    exchange.Break();
+    return;
+  }
   if (mode == "truncate" || mode == "lying_length") {
     header.set(http::field::content_length, std::to_string(body.size() + 10));
     exchange.BeginResponse(std::move(header));
--- a/testing/fake_target/fake_target.h
+++ b/testing/fake_target/fake_target.h
@@ -19,7 +19,8 @@
 
 // How a target behaves; set by control calls.
 struct TargetBehaviour {
-  // ok, error, truncate, lying_length, endless, mute, early, undelimited
+  // ok, error, truncate, truncate_chunked, lying_length, endless, mute, early,
+  // undelimited
   std::string mode = "ok";
   Milliseconds service_time{5};
   int slots = 3;
--- a/testing/fault_proxy/links.cc
+++ b/testing/fault_proxy/links.cc
@@ -38,7 +38,7 @@
 
 using ConnectionPtr = std::shared_ptr<LinkConnection>;
 
-constexpr size_t kPiece = 16 * 1024;  // bytes
+constexpr size_t kPiece = 64 * 1024;  // bytes
 constexpr Milliseconds kPoll{2};
 constexpr Milliseconds kCrossWait{200};
 
--- a/testing/harness/windows.cc
+++ b/testing/harness/windows.cc
@@ -32,4 +32,17 @@
   return worst;
 }
 
+double WorstSecond(const nlohmann::json& tenths) {
+  constexpr size_t kWindow = 10;
+  double worst = 0;
+  for (size_t i = 0; i < tenths.size(); ++i) {
+    double sum = 0;
+    for (size_t k = i; k < std::min(tenths.size(), i + kWindow); ++k) {
+      sum += tenths[k].get<double>();
+    }
+    worst = std::max(worst, sum);
+  }
+  return worst;
+}
+
 }  // namespace redwing::testing
--- a/testing/harness/windows.h
+++ b/testing/harness/windows.h
@@ -17,6 +17,9 @@
                     double rate,
                     double burst);
 
+// Largest number of bytes over any second of a meter that counts in tenths.
+double WorstSecond(const nlohmann::json& tenths);
+
 }  // namespace redwing::testing
 
 #endif  // REDWING_TESTING_HARNESS_WINDOWS_H_
--- a/testing/integration/budget_test_fleet.cc
+++ b/testing/integration/budget_test_fleet.cc
@@ -104,14 +104,18 @@
   Fleet fleet(SmallPlan(kRegions, kEntries, kRate, kBurst));
   fleet.Start();
   const std::string alpha = fleet.IssueKey("alpha");
-  const int pause_ms = GENERATE(1000, 5000);
-  CAPTURE(pause_ms);
+  const int pause_ms = GENERATE(1000, 5000, 30'000);
+  // The store is there, or not in the middle of it all.
+  const std::string store = GENERATE("ok", "down");
+  CAPTURE(pause_ms, store);
+  const int duration_ms = pause_ms + 9000;
   const std::unique_ptr<Process> load = fleet.BeginLoad(
-      Settings(Everywhere("alpha", alpha, 3 * kRate, 14'000), 14'000),
+      Settings(Everywhere("alpha", alpha, 3 * kRate, duration_ms), duration_ms),
       "paused");
   FleetEntry& paused = fleet.entry("entry-r1-1");
   FleetEntry& killed = fleet.entry("entry-r2-1");
   std::this_thread::sleep_for(Milliseconds(2000));
+  fleet.SetPlatformFault({{"mode", store}});
   paused.process->Signal(SIGSTOP);
   std::this_thread::sleep_for(Milliseconds(pause_ms));
   paused.process->Signal(SIGCONT);
@@ -176,6 +180,12 @@
   CheckNoOverrun(runs, "alpha");
   CheckNoOverrun(runs, "beta");
   CHECK(report.at("joined").at("false_not_run") == 0);
+  double dropped = 0;
+  for (const FleetEntry& entry : fleet.entries()) {
+    dropped += fleet.Counter(entry, "redwing_peer_dropped_total");
+  }
+  // Repeated datagrams are told from new ones.
+  CHECK(dropped > 100);
 }
 
 TEST_CASE("a region cut off does not let the fleet exceed the rate") {
@@ -185,6 +195,10 @@
   const std::unique_ptr<Process> load = fleet.BeginLoad(
       Settings(Everywhere("alpha", alpha, 3 * kRate, 12'000), 12'000), "cut");
   std::this_thread::sleep_for(Milliseconds(2000));
+  const json fault = GENERATE(json{{"mode", "ok"}}, json{{"mode", "down"}},
+                              json{{"mode", "lose_answers"}});
+  CAPTURE(fault.dump());
+  fleet.SetPlatformFault(fault);
   fleet.SetRulesAround(3, {{"cut", true}});
   std::this_thread::sleep_for(Milliseconds(6000));
   fleet.SetRulesAround(3, {{"cut", false}});
--- a/testing/integration/config_test_fleet.cc
+++ b/testing/integration/config_test_fleet.cc
@@ -63,11 +63,14 @@
 }
 
 TEST_CASE("racing editors, a store that loses answers, is down, a region cut") {
-  FleetPlan plan = SmallPlan(kRegions, 3, kRate, kBurst);
+  FleetPlan plan = SmallPlan(kRegions, 4, kRate, kBurst);
+  // Eleven instances.
+  plan.regions.back().entries = 3;
   Fleet fleet(plan);
   fleet.Start();
   constexpr int kSections = 5;
-  constexpr int kEdits = 60;
+  constexpr int kEdits = 200;
+  constexpr int kEditors = 4;
   // Watches every instance's revisions all the time.
   std::atomic<bool> stop = false;
   std::atomic<int> reverted = 0;
@@ -89,10 +92,10 @@
   std::vector<std::thread> editors;
   fleet.SetPlatformFault(
       {{"mode", "lose_answers"}, {"share", 0.3}, {"delay_ms", 5}});
-  for (int editor = 0; editor < 3; ++editor) {
+  for (int editor = 0; editor < kEditors; ++editor) {
     editors.emplace_back([&fleet, &accepted, editor]() {
       std::mt19937 random(static_cast<unsigned>(editor) + 1);
-      for (int i = 0; i < kEdits / 3; ++i) {
+      for (int i = 0; i < kEdits / kEditors; ++i) {
         const std::string path =
             "/v1/sections/team" + std::to_string(random() % kSections);
         try {
--- a/testing/integration/delivery_test_fleet.cc
+++ b/testing/integration/delivery_test_fleet.cc
@@ -135,7 +135,8 @@
   fleet.Start();
   const std::string key = fleet.IssueKey("alpha");
   const std::string mode =
-      GENERATE("truncate", "lying_length", "endless", "mute", "early", "error");
+      GENERATE("truncate", "truncate_chunked", "lying_length", "endless",
+               "mute", "early", "error");
   CAPTURE(mode);
   json load_settings = Load(key, 1, 60, 4000);
   load_settings["timeout_ms"] = 3000;
--- a/testing/integration/http_test_fleet.cc
+++ b/testing/integration/http_test_fleet.cc
@@ -200,9 +200,10 @@
   const std::string in_path =
       Send(Request("GET /v1/services/svc/" + key, Auth()));
   CHECK(in_path.rfind("HTTP/1.1 400", 0) == 0);
-  const std::string open =
-      Send(Request("GET /v1/services/svc/open/x",
-                   Auth() + "X-Token: scrub-open\r\nConnection: close\r\n"));
+  const std::string open = Send(
+      Request("GET /v1/services/svc/open/x",
+              Auth() + "X-Token: scrub-open\r\nX-Redwing-Workspace: beta\r\n"
+                       "Connection: close\r\n"));
   CHECK(open.rfind("HTTP/1.1 200", 0) == 0);
   int seen = 0;
   for (const json& run : Shared().fleet.Runs()) {
--- a/testing/integration/link_test_fleet.cc
+++ b/testing/integration/link_test_fleet.cc
@@ -18,20 +18,6 @@
 constexpr double kCapMbit = 40;
 constexpr double kCapBytes = kCapMbit * 1e6 / 8;
 
-// Largest number of bytes over any second, in steps of a tenth.
-double WorstSecond(const json& tenths) {
-  constexpr size_t kWindow = 10;
-  double worst = 0;
-  for (size_t i = 0; i < tenths.size(); ++i) {
-    double sum = 0;
-    for (size_t k = i; k < std::min(tenths.size(), i + kWindow); ++k) {
-      sum += tenths[k].get<double>();
-    }
-    worst = std::max(worst, sum);
-  }
-  return worst;
-}
-
 json Load(const std::string& key,
           double rate,
           int bytes,
