A stalled target's reports count in full: the latency is at least the time without an end

Cause: when targets became slow at once, the smoothed latency was still 2 ms, so what peers reported was taken for ended, and the entries together put more on a target than its slots; what waited there ran in a bunch. Change: the latency used for the discount is at least the time since an attempt on the target last ended.

--- a/src/routing/internal/local_target_router.cc
+++ b/src/routing/internal/local_target_router.cc
@@ -362,7 +362,7 @@
     return false;
   }
   pool.queue.Serve(head);
-  state->Begin();
+  state->Begin(now);
   head->granted = state;
   head->timer.cancel();
   return true;
--- a/src/routing/internal/target_state.cc
+++ b/src/routing/internal/target_state.cc
@@ -48,10 +48,13 @@
 }
 
 double TargetState::ExpectedWork(TimePoint now) const {
+  const double stalled_ms =
+      outstanding_ > 0 ? ToSeconds(now - progress_at_) * 1000 : 0;
+  const double latency_ms = std::max({latency_ms_, stalled_ms, 1.0});
   double work = outstanding_;
   for (const auto& [peer, report] : peer_work_) {
     const double age_ms = ToSeconds(now - report.at) * 1000;
-    work += report.work * std::exp(-age_ms / std::max(latency_ms_, 1.0));
+    work += report.work * std::exp(-age_ms / latency_ms);
   }
   return work;
 }
@@ -86,10 +89,18 @@
   return !closed_ && !leaving_ && !Ejected(now);
 }
 
+void TargetState::Begin(TimePoint now) {
+  if (outstanding_ == 0) {
+    progress_at_ = now;
+  }
+  ++outstanding_;
+}
+
 void TargetState::End(AttemptOutcome outcome,
                       Milliseconds latency,
                       TimePoint now) {
   --outstanding_;
+  progress_at_ = now;
   switch (outcome) {
     case AttemptOutcome::kAnswered: {
       failures_in_row_ = 0;
--- a/src/routing/target_state.h
+++ b/src/routing/target_state.h
@@ -42,7 +42,8 @@
   int outstanding() const { return outstanding_; }
   int KnownWork(TimePoint now) const;
   // Requests likely in work now: what others reported ends in time, the sooner
-  // the shorter the target's latency.
+  // the shorter the target's latency. While nothing ends here, the latency is
+  // taken to be at least that long.
   double ExpectedWork(TimePoint now) const;
   void SetPeerWork(const std::string& peer, int work, TimePoint now);
 
@@ -53,7 +54,7 @@
   bool Ejected(TimePoint now) const { return now < ejected_until_; }
   bool Usable(TimePoint now) const;
 
-  void Begin() { ++outstanding_; }
+  void Begin(TimePoint now);
   // Counts a failure while the target is not to be ejected just now: the
   // ejection is up to the caller.
   void End(AttemptOutcome outcome, Milliseconds latency, TimePoint now);
@@ -76,6 +77,8 @@
   bool closed_ = false;
   bool leaving_ = false;
   int outstanding_ = 0;
+  // When the last attempt ended, or the first of those that run began.
+  TimePoint progress_at_;
   int failures_in_row_ = 0;
   int error_answers_in_row_ = 0;
   int ejections_ = 0;
--- a/src/routing/tests/target_state_test.cc
+++ b/src/routing/tests/target_state_test.cc
@@ -26,12 +26,23 @@
   CHECK(state.Available(now + std::chrono::seconds(2)));
 }
 
+TEST_CASE("old reports count in full while a target answers nothing") {
+  TargetState state = MakeState(4);
+  const TimePoint now = kStart + std::chrono::seconds(10);
+  state.Begin(now);
+  state.SetPeerWork("peer", 3, now);
+  // It answered at once so far: by now that work has likely ended.
+  CHECK(state.Available(now + Milliseconds(20)));
+  state.SetPeerWork("peer", 3, now + Milliseconds(800));
+  CHECK_FALSE(state.Available(now + Milliseconds(840)));
+}
+
 TEST_CASE("failures in a row eject, longer each time, and an answer forgives") {
   TargetState state = MakeState(2);
   TimePoint now = kStart + std::chrono::seconds(10);
   for (int i = 0; i < 3; ++i) {
     CHECK_FALSE(state.WantsEjection());
-    state.Begin();
+    state.Begin(now);
     state.End(AttemptOutcome::kFailed, Milliseconds(1), now);
   }
   REQUIRE(state.WantsEjection());
@@ -41,13 +52,13 @@
   CHECK(state.Usable(now));
   // Half open: one request at a time until one succeeds.
   CHECK(state.Limit(now) == 1);
-  state.Begin();
+  state.Begin(now);
   state.End(AttemptOutcome::kFailed, Milliseconds(1), now);
   REQUIRE(state.WantsEjection());
   state.Eject(now);
   CHECK_FALSE(state.Usable(now + Milliseconds(1900)));
   now += Milliseconds(2100);
-  state.Begin();
+  state.Begin(now);
   state.End(AttemptOutcome::kAnswered, Milliseconds(1), now);
   CHECK(state.Limit(now) == 2);
 }
