--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 # make demo   installs what is missing, builds, runs a fleet under load
 # make test   builds with warnings as errors, checks format and lint, runs all tests
+# make without  shows that the tests of the promises fail without their protections
 
 BUILD := build
 PACKAGES := g++ cmake ninja-build ccache patch clang-format clang-tidy \
@@ -9,7 +10,7 @@
 SUDO := $(if $(filter 0,$(shell id -u)),,sudo)
 JOBS := $(shell nproc)
 
-.PHONY: demo test packages build format lint fuzz bench
+.PHONY: demo test packages build format lint fuzz bench without
 
 packages:
 	$(SUDO) apt-get update
@@ -38,3 +39,6 @@
 
 bench: build
 	$(BUILD)/bin/redwing-bench
+
+without: build
+	tools/try_without $(BUILD)
--- a/apps/redwing_entry.cc
+++ b/apps/redwing_entry.cc
@@ -33,6 +33,8 @@
   MembershipOptions membership;
   membership.heartbeat_interval = settings.heartbeat_interval;
   membership.suspicion_timeout = settings.suspicion_timeout;
+  TargetRouterOptions routing;
+  routing.max_unpaid_wait = settings.max_token_wait;
   BudgetOptions budgets;
   budgets.max_wait = settings.max_token_wait;
   budgets.lease_duration = settings.lease_duration;
@@ -47,8 +49,8 @@
   kernel.AddModule(std::make_unique<ConfigModule>(settings.freshness_limit));
   kernel.AddModule(
       std::make_unique<BudgetModule>(settings.budget_strategy, budgets));
-  kernel.AddModule(std::make_unique<RoutingModule>(settings.target_choice,
-                                                   settings.lookup_ttl));
+  kernel.AddModule(std::make_unique<RoutingModule>(
+      settings.target_choice, settings.lookup_ttl, routing));
   kernel.AddModule(std::make_unique<DeliveryModule>(settings.fleet_secrets));
   kernel.AddModule(std::make_unique<EntryModule>(settings));
 }
--- a/src/routing/internal/local_target_router.h
+++ b/src/routing/internal/local_target_router.h
@@ -13,6 +13,7 @@
 #include "routing/fair_queue.h"
 #include "routing/target_choice.h"
 #include "routing/target_router.h"
+#include "routing/target_router_options.h"
 
 namespace redwing {
 
@@ -24,15 +25,6 @@
 struct Identity;
 struct Member;
 
-struct TargetRouterOptions {
-  size_t queue_per_workspace = 256;
-  Milliseconds max_wait{2000};
-  // For requests that have a slot and lack tokens.
-  Milliseconds max_unpaid_wait{500};
-  // Ejected targets never exceed this part of a service's local targets.
-  double max_ejected_part = 0.5;
-};
-
 // TargetRouter over the targets that the steering document places in the own
 // region.
 class LocalTargetRouter : public TargetRouter {
--- a/src/routing/internal/routing_module.cc
+++ b/src/routing/internal/routing_module.cc
@@ -20,7 +20,7 @@
       std::make_shared<WeightedLookup>(kernel.io(), identity, lookup_ttl_);
   router_ = std::make_shared<LocalTargetRouter>(
       kernel.io(), *kernel.Find<SocketRegistry>(), *kernel.Find<Metrics>(),
-      identity, MakeTargetChoice(target_choice_), TargetRouterOptions());
+      identity, MakeTargetChoice(target_choice_), options_);
   kernel.Register<EntryLookup>(lookup_);
   kernel.Register<TargetRouter>(router_);
 }
--- a/src/routing/routing_module.h
+++ b/src/routing/routing_module.h
@@ -6,6 +6,7 @@
 
 #include "framework/kernel/clock.h"
 #include "framework/kernel/module.h"
+#include "routing/target_router_options.h"
 
 namespace redwing {
 
@@ -15,8 +16,12 @@
 // Where callers and requests go: look-ups and targets.
 class RoutingModule : public Module {
  public:
-  RoutingModule(std::string target_choice, Milliseconds lookup_ttl)
-      : target_choice_(std::move(target_choice)), lookup_ttl_(lookup_ttl) {}
+  RoutingModule(std::string target_choice,
+                Milliseconds lookup_ttl,
+                TargetRouterOptions options)
+      : target_choice_(std::move(target_choice)),
+        lookup_ttl_(lookup_ttl),
+        options_(options) {}
   ~RoutingModule() override;
 
   std::string_view Name() const override { return "routing"; }
@@ -28,6 +33,7 @@
  private:
   std::string target_choice_;
   Milliseconds lookup_ttl_;
+  TargetRouterOptions options_;
   std::shared_ptr<WeightedLookup> lookup_;
   std::shared_ptr<LocalTargetRouter> router_;
 };
--- /dev/null
+++ b/src/routing/target_router_options.h
@@ -0,0 +1,20 @@
+#ifndef REDWING_ROUTING_TARGET_ROUTER_OPTIONS_H_
+#define REDWING_ROUTING_TARGET_ROUTER_OPTIONS_H_
+
+#include "framework/kernel/clock.h"
+
+namespace redwing {
+
+// Bounds of the queues in which requests wait for slots.
+struct TargetRouterOptions {
+  size_t queue_per_workspace = 256;
+  Milliseconds max_wait{2000};
+  // For requests that have a slot and lack tokens.
+  Milliseconds max_unpaid_wait{500};
+  // Ejected targets never exceed this part of a service's local targets.
+  double max_ejected_part = 0.5;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_ROUTING_TARGET_ROUTER_OPTIONS_H_
