Entries echo the attempt they answer, so a forwarded request's answer is known for its own

Cause: keyed requests that another entry forwards pass the same lines, and entries did not echo X-Redwing-Attempt; an answer without an echo was believed. Ruled out: target answers (their echo was checked). A new test makes it certain: region 1 has no targets and forwards all, its lines to region 2 are crossed. Change: an entry echoes the field of a request that carries a hop token on whatever it answers; the forwarding entry takes an answer without it for another's (may_have_run). During an upgrade from an entry that does not echo, forwarded requests fail that way.

--- a/src/delivery/internal/request_carrier.cc
+++ b/src/delivery/internal/request_carrier.cc
@@ -115,6 +115,11 @@
 }
 
 void RequestCarrier::Carry(HttpExchange& exchange, const Yield& yield) {
+  if (!exchange.Header(kHopField).empty()) {
+    // By this the forwarding entry knows that an answer, or a refusal, is for
+    // its own request.
+    exchange.EchoField(kAttemptField);
+  }
   const Result<RequestContext> context = admitter_.Admit(exchange);
   if (!context) {
     metrics_
--- a/src/delivery/internal/upstream_attempt.cc
+++ b/src/delivery/internal/upstream_attempt.cc
@@ -116,7 +116,10 @@
   }
   const ResponseHeader& header = connection_->response();
   const boost::beast::string_view echo = header[BeastView(kAttemptField)];
-  if (!echo.empty() && StdView(echo) != attempt_id_) {
+  // Targets need not echo; entries do.
+  const bool own =
+      echo.empty() ? !plan_.to_entry : StdView(echo) == attempt_id_;
+  if (!own) {
     connection_->Abort();
     metrics_
         .Get("redwing_answers_crossed_total",
--- a/src/framework/http/internal/http_exchange.cc
+++ b/src/framework/http/internal/http_exchange.cc
@@ -130,6 +130,10 @@
   keep_alive_ =
       keep_alive_ && parser_.is_done() && (has_length || chunked || bodiless);
   response_.emplace(std::move(header));
+  if (!echoed_field_.empty()) {
+    response_->set(BeastView(echoed_field_),
+                   request()[BeastView(echoed_field_)]);
+  }
   if (chunked) {
     response_->set(http::field::transfer_encoding, "chunked");
   }
--- a/testing/integration/delivery_test_fleet.cc
+++ b/testing/integration/delivery_test_fleet.cc
@@ -119,6 +119,32 @@
   CHECK(noticed > 0);
 }
 
+TEST_CASE("answers of another region's entries are crossed") {
+  Fleet fleet(SmallPlan(2, 2, kRate, kBurst));
+  fleet.Start();
+  const std::string key = fleet.IssueKey("alpha");
+  // Without targets of its own, region 1 forwards all that it gets.
+  for (const auto& [name, address] : fleet.target_addresses()) {
+    if (fleet.TargetDocument(name).at("region") == "r1") {
+      CallJson(http::verb::post, fleet.admin(), "/v1/drains",
+               {{"kind", "targets"}, {"name", name}, {"drained", true}},
+               fleet.root_key());
+    }
+  }
+  const std::unique_ptr<Process> load =
+      fleet.BeginLoad(Load(key, 1, 200, 5000), "crossed");
+  std::this_thread::sleep_for(Milliseconds(1000));
+  fleet.SetRules(RuleBothWays(1, 2, {{"cross", true}}));
+  std::this_thread::sleep_for(Milliseconds(2000));
+  fleet.SetRules(RuleBothWays(1, 2, {{"cross", false}}));
+  CheckSound(fleet.EndLoad(*load, "crossed"));
+  double noticed = 0;
+  for (const FleetEntry& entry : fleet.entries()) {
+    noticed += fleet.Counter(entry, "redwing_answers_crossed_total");
+  }
+  CHECK(noticed > 0);
+}
+
 TEST_CASE("a target that misbehaves harms no request but its own") {
   Fleet fleet(SmallPlan(1, 2, kRate, kBurst));
   fleet.Start();
