--- a/src/routing/internal/target_state.cc
+++ b/src/routing/internal/target_state.cc
@@ -9,6 +9,8 @@
 namespace redwing {
 
 namespace {
+// Work that takes this long is still there when the next report comes.
+constexpr double kOutlivesReportsMs = 100;
 // A slot that is likelier free than not is taken.
 constexpr double kRoom = 0.5;
 constexpr int kFailuresToEject = 3;
@@ -51,10 +53,12 @@
   const double stalled_ms =
       outstanding_ > 0 ? ToSeconds(now - progress_at_) * 1000 : 0;
   const double latency_ms = std::max({latency_ms_, stalled_ms, 1.0});
+  const bool outlives_reports = latency_ms >= kOutlivesReportsMs;
   double work = outstanding_;
   for (const auto& [peer, report] : peer_work_) {
     const double age_ms = ToSeconds(now - report.at) * 1000;
-    work += report.work * std::exp(-age_ms / latency_ms);
+    work += outlives_reports ? report.work
+                             : report.work * std::exp(-age_ms / latency_ms);
   }
   return work;
 }
