--- a/testing/integration/delivery_test_fleet.cc
+++ b/testing/integration/delivery_test_fleet.cc
@@ -8,6 +8,7 @@
 #include "testing/harness/deployments.h"
 #include "testing/harness/sync_client.h"
 #include "testing/integration/fleet_checks.h"
+#include "testing/integration/fleet_load.h"
 
 namespace redwing::testing {
 namespace {
@@ -17,39 +18,6 @@
 constexpr double kRate = 5000;
 constexpr double kBurst = 1000;
 
-json Requests() {
-  return {{{"service", "svc"}, {"path", "/x"}, {"response_bytes", 20'000}},
-          {{"service", "svc"},
-           {"path", "/x"},
-           {"method", "POST"},
-           {"body_bytes", 3000},
-           {"once", true}},
-          {{"service", "svc"},
-           {"path", "/x"},
-           {"method", "POST"},
-           {"body_bytes", 300},
-           {"keyed", true}}};
-}
-
-json Load(const std::string& key,
-          int regions,
-          double rate,
-          int duration_ms,
-          const json& requests = Requests()) {
-  json groups = json::array();
-  for (int region = 1; region <= regions; ++region) {
-    groups.push_back({{"name", "g" + std::to_string(region)},
-                      {"key", key},
-                      {"region", "r" + std::to_string(region)},
-                      {"rate_per_s", rate / regions},
-                      {"requests", requests}});
-  }
-  return {{"duration_ms", duration_ms},
-          {"timeout_ms", 4000},
-          {"max_tries", 6},
-          {"groups", groups}};
-}
-
 json RuleBothWays(int a, int b, json rule) {
   json there = rule;
   there["from"] = a;
@@ -72,7 +40,7 @@
   }
   CAPTURE(from, to);
   const std::unique_ptr<Process> load =
-      fleet.BeginLoad(Load(key, 1, 150, 9000), "cuts");
+      fleet.BeginLoad(FleetLoad(key, 1, 150, 9000), "cuts");
   // Answers alone first: requests are whole by then, and run.
   for (const int offset : {1, 40, 150, 260}) {
     fleet.SetRules(
@@ -93,7 +61,7 @@
   fleet.Start();
   const std::string key = fleet.IssueKey("alpha");
   const std::unique_ptr<Process> load =
-      fleet.BeginLoad(Load(key, 1, 100, 9000), "held");
+      fleet.BeginLoad(FleetLoad(key, 1, 100, 9000), "held");
   std::this_thread::sleep_for(Milliseconds(1500));
   fleet.SetRules({{{"from", 1}, {"to", 1}, {"hold", true}}});
   std::this_thread::sleep_for(Milliseconds(5000));
@@ -114,7 +82,7 @@
     }
   }
   const std::unique_ptr<Process> load =
-      fleet.BeginLoad(Load(key, 1, 200, 5000), "crossed");
+      fleet.BeginLoad(FleetLoad(key, 1, 200, 5000), "crossed");
   std::this_thread::sleep_for(Milliseconds(1000));
   fleet.SetRules(RuleBothWays(1, 2, {{"cross", true}}));
   std::this_thread::sleep_for(Milliseconds(2000));
@@ -135,7 +103,7 @@
       GENERATE("truncate", "truncate_chunked", "lying_length", "endless",
                "mute", "early", "error");
   CAPTURE(mode);
-  json load_settings = Load(key, 1, 60, 4000);
+  json load_settings = FleetLoad(key, 1, 60, 4000);
   load_settings["timeout_ms"] = 3000;
   const std::unique_ptr<Process> load = fleet.BeginLoad(load_settings, "mode");
   std::this_thread::sleep_for(Milliseconds(1000));
@@ -159,7 +127,7 @@
   CAPTURE(fault.dump());
   fleet.SetPlatformFault(fault);
   const std::unique_ptr<Process> load =
-      fleet.BeginLoad(Load(key, 3, 150, 6000), "killed");
+      fleet.BeginLoad(FleetLoad(key, 3, 150, 6000), "killed");
   std::this_thread::sleep_for(Milliseconds(2000));
   fleet.entry("entry-r1-1").process->Kill();
   std::this_thread::sleep_for(Milliseconds(500));
@@ -246,9 +214,9 @@
   const std::string key = fleet.IssueKey("alpha");
   // A repeat after a bound process has left is "may have run" by design, so
   // these are requests without keys.
-  const json requests = {Requests()[0], Requests()[1]};
+  const json requests = {MixedRequests()[0], MixedRequests()[1]};
   const std::unique_ptr<Process> load =
-      fleet.BeginLoad(Load(key, 2, 150, 24'000, requests), "rolling");
+      fleet.BeginLoad(FleetLoad(key, 2, 150, 24'000, requests), "rolling");
   for (FleetEntry& entry : fleet.entries()) {
     std::this_thread::sleep_for(Milliseconds(1500));
     fleet.List(entry, true, false);
@@ -271,8 +239,8 @@
   Fleet fleet(plan);
   fleet.Start();
   const std::string key = fleet.IssueKey("alpha");
-  const json requests = {Requests()[0], Requests()[1]};
-  json settings = Load(key, 2, 20, 6000, requests);
+  const json requests = {MixedRequests()[0], MixedRequests()[1]};
+  json settings = FleetLoad(key, 2, 20, 6000, requests);
   settings["timeout_ms"] = 15'000;
   const std::unique_ptr<Process> load = fleet.BeginLoad(settings, "long");
   std::this_thread::sleep_for(Milliseconds(3000));
@@ -293,7 +261,7 @@
   fleet.Start();
   const std::string key = fleet.IssueKey("alpha");
   const std::unique_ptr<Process> load =
-      fleet.BeginLoad(Load(key, 2, 200, 12'000), "leaving");
+      fleet.BeginLoad(FleetLoad(key, 2, 200, 12'000), "leaving");
   std::this_thread::sleep_for(Milliseconds(1500));
   const std::string by = GENERATE("list", "health", "operator");
   CAPTURE(by);
@@ -329,7 +297,7 @@
   fleet.Start();
   const std::string key = fleet.IssueKey("alpha");
   const std::unique_ptr<Process> load =
-      fleet.BeginLoad(Load(key, 3, 200, 8000), "region");
+      fleet.BeginLoad(FleetLoad(key, 3, 200, 8000), "region");
   std::this_thread::sleep_for(Milliseconds(2000));
   fleet.KillEntry(fleet.entry("entry-r2-1"));
   fleet.KillEntry(fleet.entry("entry-r2-2"));
@@ -343,7 +311,7 @@
   fleet.Start();
   const std::string key = fleet.IssueKey("alpha");
   const std::unique_ptr<Process> load =
-      fleet.BeginLoad(Load(key, 3, 150, 9000), "cut-off");
+      fleet.BeginLoad(FleetLoad(key, 3, 150, 9000), "cut-off");
   std::this_thread::sleep_for(Milliseconds(1500));
   json rules = RuleBothWays(2, 1, {{"cut", true}});
   const json more = RuleBothWays(2, 3, {{"cut", true}});
--- a/testing/integration/target_test_fleet.cc
+++ b/testing/integration/target_test_fleet.cc
@@ -8,6 +8,7 @@
 #include "testing/harness/deployments.h"
 #include "testing/harness/sync_client.h"
 #include "testing/integration/fleet_checks.h"
+#include "testing/integration/fleet_load.h"
 
 namespace redwing::testing {
 namespace {
@@ -18,24 +19,13 @@
 constexpr double kBurst = 1000;
 
 json Load(const std::string& key, int regions, double rate, int duration_ms) {
-  json groups = json::array();
-  for (int region = 1; region <= regions; ++region) {
-    groups.push_back({{"name", "g" + std::to_string(region)},
-                      {"key", key},
-                      {"region", "r" + std::to_string(region)},
-                      {"rate_per_s", rate / regions},
-                      {"requests",
-                       {{{"service", "svc"}, {"path", "/x"}},
-                        {{"service", "svc"},
-                         {"path", "/x"},
-                         {"method", "POST"},
-                         {"body_bytes", 300},
-                         {"once", true}}}}});
-  }
-  return {{"duration_ms", duration_ms},
-          {"timeout_ms", 4000},
-          {"max_tries", 6},
-          {"groups", groups}};
+  const json requests = {{{"service", "svc"}, {"path", "/x"}},
+                         {{"service", "svc"},
+                          {"path", "/x"},
+                          {"method", "POST"},
+                          {"body_bytes", 300},
+                          {"once", true}}};
+  return FleetLoad(key, regions, rate, duration_ms, requests);
 }
 
 // Part of all requests that were refused as not run.
