--- a/apps/redwing_admin.cc
+++ b/apps/redwing_admin.cc
@@ -3,7 +3,7 @@
 #include "admin/admin_module.h"
 #include "apps/daemon.h"
 #include "framework/http/core_module.h"
-#include "platform/platform_module.h"
+#include "store/store_module.h"
 
 namespace redwing {
 
@@ -15,7 +15,7 @@
 
 void AddModules(Kernel& kernel, const AdminSettings& settings) {
   kernel.AddModule(std::make_unique<CoreModule>(settings.source_address));
-  kernel.AddModule(std::make_unique<PlatformModule>(settings.platform_address,
+  kernel.AddModule(std::make_unique<StoreModule>(settings.platform_address,
                                                     settings.platform_timeout));
   kernel.AddModule(std::make_unique<AdminModule>(settings));
 }
--- a/apps/redwing_entry.cc
+++ b/apps/redwing_entry.cc
@@ -9,7 +9,7 @@
 #include "framework/peer/peer_module.h"
 #include "framework/wire/digest.h"
 #include "membership/membership_module.h"
-#include "platform/platform_module.h"
+#include "store/store_module.h"
 #include "routing/routing_module.h"
 
 namespace redwing {
@@ -42,11 +42,13 @@
   kernel.AddModule(std::make_unique<CoreModule>(settings.source_address));
   kernel.AddModule(std::make_unique<PeerModule>(
       settings.instance, settings.peer_listen, settings.fleet_secrets));
-  kernel.AddModule(std::make_unique<PlatformModule>(settings.platform_address,
+  kernel.AddModule(std::make_unique<StoreModule>(settings.platform_address,
                                                     settings.platform_timeout));
   kernel.AddModule(
       std::make_unique<MembershipModule>(identity, membership, settings.seeds));
-  kernel.AddModule(std::make_unique<ConfigModule>(settings.freshness_limit));
+  ConfigOptions config;
+  config.freshness_limit = settings.freshness_limit;
+  kernel.AddModule(std::make_unique<ConfigModule>(config));
   kernel.AddModule(
       std::make_unique<BudgetModule>(settings.budget_strategy, budgets));
   kernel.AddModule(std::make_unique<RoutingModule>(
--- a/src/admin/internal/admin_module.cc
+++ b/src/admin/internal/admin_module.cc
@@ -11,7 +11,7 @@
 #include "framework/kernel/kernel.h"
 #include "framework/metrics/metrics.h"
 #include "framework/settings/endpoint.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 namespace redwing {
 
--- a/src/admin/operator_directory.h
+++ b/src/admin/operator_directory.h
@@ -8,7 +8,7 @@
 
 #include "framework/errors/result.h"
 #include "framework/http/http_types.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 namespace redwing {
 
--- a/src/admin/state_editor.h
+++ b/src/admin/state_editor.h
@@ -10,7 +10,7 @@
 #include "admin/audit_record.h"
 #include "framework/errors/result.h"
 #include "framework/http/http_types.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 namespace redwing {
 
--- a/src/admin/tests/state_editor_test.cc
+++ b/src/admin/tests/state_editor_test.cc
@@ -48,6 +48,11 @@
                               const Yield& /*yield*/) override {
     return Write(object, false);
   }
+  Result<void> Delete(const StoredObject& object,
+                      const Yield& /*yield*/) override {
+    objects_.erase(object.kind + "/" + object.name);
+    return boost::outcome_v2::success();
+  }
   Failure Watch(const std::string& /*kind*/,
                 const std::string& /*version*/,
                 const std::function<void(const StoredObject&)>& /*on_object*/,
--- a/src/budget/internal/budget_account.h
+++ b/src/budget/internal/budget_account.h
@@ -1,7 +1,6 @@
 #ifndef REDWING_BUDGET_INTERNAL_BUDGET_ACCOUNT_H_
 #define REDWING_BUDGET_INTERNAL_BUDGET_ACCOUNT_H_
 
-#include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <map>
 #include <memory>
@@ -11,6 +10,7 @@
 #include "budget/demand_meter.h"
 #include "budget/share_bucket.h"
 #include "framework/errors/failure.h"
+#include "framework/kernel/timer.h"
 
 namespace redwing {
 
@@ -22,7 +22,7 @@
   TokenWaiter(boost::asio::io_context& io, double wanted, bool is_pacing)
       : timer(io), amount(wanted), pacing(is_pacing) {}
 
-  boost::asio::steady_timer timer;
+  Timer timer;
   double amount;
   // Part of a transfer that has begun.
   bool pacing;
--- a/src/budget/internal/budget_module.cc
+++ b/src/budget/internal/budget_module.cc
@@ -11,7 +11,7 @@
 #include "framework/peer/peer_transport.h"
 #include "membership/identity.h"
 #include "membership/membership.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 namespace redwing {
 
--- a/src/budget/internal/share_budgets.cc
+++ b/src/budget/internal/share_budgets.cc
@@ -34,11 +34,13 @@
                                 const std::string& own_region) {
   std::vector<BudgetSpec> specs;
   for (const auto& [name, workspace] : document.workspaces()) {
-    specs.push_back({WorkspaceBudgetName(name), BudgetScope::kFleet,
-                     workspace.rate, workspace.burst});
+    if (workspace.rate > 0) {
+      specs.push_back({WorkspaceBudgetName(name), BudgetScope::kFleet,
+                       workspace.rate, workspace.burst});
+    }
   }
   const Region* const region = document.FindRegion(own_region);
-  if (region != nullptr) {
+  if (region != nullptr && region->rate > 0) {
     specs.push_back({RegionBudgetName(own_region), BudgetScope::kRegion,
                      region->rate, region->burst});
   }
--- a/src/budget/internal/share_ledger.cc
+++ b/src/budget/internal/share_ledger.cc
@@ -10,7 +10,7 @@
 #include "framework/log/log.h"
 #include "membership/identity.h"
 #include "membership/membership.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 namespace redwing {
 
--- a/src/config/config_module.h
+++ b/src/config/config_module.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 
+#include "config/config_options.h"
 #include "framework/kernel/clock.h"
 #include "framework/kernel/module.h"
 
@@ -12,13 +13,14 @@
 class MajorityFreshness;
 class PeerSync;
 class ReplicatedState;
+class SourceFeed;
+class StateFeed;
 class StoreWatcher;
 
 // The configuration, keys and withdrawals in force.
 class ConfigModule : public Module {
  public:
-  explicit ConfigModule(Milliseconds freshness_limit)
-      : freshness_limit_(freshness_limit) {}
+  explicit ConfigModule(ConfigOptions options) : options_(options) {}
   ~ConfigModule() override;
 
   std::string_view Name() const override { return "config"; }
@@ -28,10 +30,15 @@
   void Stop() override;
 
  private:
-  Milliseconds freshness_limit_;
+  void AttachFeed(Kernel& kernel);
+
+  ConfigOptions options_;
   std::shared_ptr<ReplicatedState> state_;
   std::shared_ptr<DocumentConfig> config_;
+  // One of these two is the feed.
   std::shared_ptr<StoreWatcher> watcher_;
+  std::shared_ptr<SourceFeed> source_feed_;
+  std::shared_ptr<StateFeed> feed_;
   std::shared_ptr<PeerSync> sync_;
   std::shared_ptr<MajorityFreshness> freshness_;
 };
--- a/src/config/drains.h
+++ b/src/config/drains.h
@@ -11,6 +11,8 @@
 struct Drains {
   std::set<std::string> targets;
   std::set<std::string> failure_domains;
+  // Failure domains of which only the targets are drained.
+  std::set<std::string> target_failure_domains;
   std::set<std::string> regions;
   std::set<std::string> instances;
 
--- a/src/config/internal/config_module.cc
+++ b/src/config/internal/config_module.cc
@@ -1,18 +1,21 @@
 #include "config/config_module.h"
 
+#include "config/internal/always_fresh.h"
 #include "config/internal/document_config.h"
 #include "config/internal/majority_freshness.h"
 #include "config/internal/peer_sync.h"
+#include "config/internal/source_feed.h"
 #include "config/internal/store_watcher.h"
 #include "config/replicated_state.h"
+#include "config/state_source.h"
 #include "framework/kernel/kernel.h"
 #include "framework/metrics/metrics.h"
 #include "framework/peer/peer_transport.h"
 #include "keys/key_ring.h"
 #include "membership/identity.h"
 #include "membership/membership.h"
-#include "platform/instance_directory.h"
-#include "platform/object_store.h"
+#include "store/instance_directory.h"
+#include "store/object_store.h"
 
 namespace redwing {
 
@@ -23,35 +26,59 @@
   const std::shared_ptr<KeyRing> keys = std::make_shared<KeyRing>();
   state_ = std::make_shared<ReplicatedState>(*metrics);
   config_ = std::make_shared<DocumentConfig>(state_, keys);
-  watcher_ = std::make_shared<StoreWatcher>(kernel.io(), state_, keys,
-                                            kernel.Find<Identity>());
+  if (options_.origin == StateOrigin::kStateObjects) {
+    watcher_ = std::make_shared<StoreWatcher>(kernel.io(), state_, keys,
+                                              kernel.Find<Identity>());
+    feed_ = watcher_;
+  } else {
+    source_feed_ = std::make_shared<SourceFeed>(
+        kernel.io(), state_, kernel.Find<Identity>(), options_);
+    feed_ = source_feed_;
+  }
   sync_ =
-      std::make_shared<PeerSync>(kernel.io(), *metrics, state_, keys, watcher_);
-  freshness_ = std::make_shared<MajorityFreshness>(watcher_, freshness_limit_);
+      std::make_shared<PeerSync>(kernel.io(), *metrics, state_, keys, feed_);
   kernel.Register(keys);
   kernel.Register(state_);
   kernel.Register<SteeringConfig>(config_);
   kernel.Register<Withdrawals>(sync_);
+  if (options_.freshness_policy == FreshnessPolicy::kServeOn) {
+    kernel.Register<Freshness>(std::make_shared<AlwaysFresh>());
+    return;
+  }
+  freshness_ =
+      std::make_shared<MajorityFreshness>(feed_, options_.freshness_limit);
   kernel.Register<Freshness>(freshness_);
 }
 
 void ConfigModule::ResolveDependencies(Kernel& kernel) {
   const std::shared_ptr<Membership> membership = kernel.Find<Membership>();
   config_->Attach(membership);
-  watcher_->Attach(kernel.Find<ObjectStore>(), kernel.Find<InstanceDirectory>(),
-                   membership);
+  AttachFeed(kernel);
   sync_->Attach(kernel.Find<PeerTransport>(), membership);
-  freshness_->Attach(membership);
+  if (freshness_) {
+    freshness_->Attach(membership);
+  }
+}
+
+void ConfigModule::AttachFeed(Kernel& kernel) {
+  const std::shared_ptr<Membership> membership = kernel.Find<Membership>();
+  const std::shared_ptr<InstanceDirectory> directory =
+      kernel.Find<InstanceDirectory>();
+  if (watcher_) {
+    watcher_->Attach(kernel.Find<ObjectStore>(), directory, membership);
+  } else {
+    source_feed_->Attach(kernel.Find<StateSource>(), directory, membership);
+  }
 }
 
 void ConfigModule::Start() {
-  watcher_->Start();
+  feed_->Start();
   sync_->Start();
 }
 
 void ConfigModule::Stop() {
   sync_->Stop();
-  watcher_->Stop();
+  feed_->Stop();
 }
 
 }  // namespace redwing
--- a/src/config/internal/document_config.cc
+++ b/src/config/internal/document_config.cc
@@ -1,5 +1,7 @@
 #include "config/internal/document_config.h"
 
+#include <algorithm>
+
 #include "config/key_shard.h"
 #include "config/listing_codec.h"
 #include "framework/log/log.h"
@@ -21,7 +23,8 @@
                                std::shared_ptr<KeyRing> keys)
     : state_(std::move(state)),
       keys_(std::move(keys)),
-      document_(std::make_shared<SteeringDocument>(std::vector<Section>())) {
+      written_(std::make_shared<SteeringDocument>(std::vector<Section>())),
+      document_(written_) {
   state_->on_applied().Subscribe(
       [this](const StateEntry& entry) { HandleEntry(entry); });
 }
@@ -36,7 +39,7 @@
 
 void DocumentConfig::HandleEntry(const StateEntry& entry) {
   if (HasPrefix(entry.name, kSectionPrefix)) {
-    Rebuild();
+    ApplySection(entry);
   } else if (HasPrefix(entry.name, kKeysPrefix)) {
     ApplyKeys(entry);
   } else if (entry.name == kDrainsName) {
@@ -56,24 +59,49 @@
 void DocumentConfig::ApplyListing(const StateEntry& entry) {
   listing_ = DecodeListing(entry);
   membership_->ApplyList(listing_.instances);
+  MergeTargets();
 }
 
-void DocumentConfig::Rebuild() {
-  std::vector<Section> sections;
-  for (const auto& [name, entry] : state_->entries()) {
-    if (!HasPrefix(name, kSectionPrefix)) {
+void DocumentConfig::MergeTargets() {
+  SteeringDocument::TargetMap targets;
+  for (const ListedInstance& instance : listing_.instances) {
+    const Service* const service = written_->FindService(instance.service);
+    if (service == nullptr || !service->discovered) {
       continue;
     }
-    Result<Section> section =
-        ParseSection(name.substr(kSectionPrefix.size()), entry.body);
-    if (section) {
-      sections.push_back(std::move(section.value()));
-    } else {
-      spdlog::error("{} revision {} is not valid: {}", name, entry.revision,
-                    section.error().detail);
-    }
+    Target target;
+    target.name = instance.name;
+    target.address = instance.http_address;
+    target.region = instance.region;
+    target.failure_domain = instance.failure_domain;
+    target.slots = std::max(1, instance.slots);
+    target.started_at = instance.started_at;
+    target.warm_up_left = instance.warm_up_left;
+    targets[instance.service].push_back(std::move(target));
+  }
+  document_ = targets.empty() ? written_
+                              : std::make_shared<SteeringDocument>(
+                                    written_->WithTargets(targets));
+}
+
+void DocumentConfig::ApplySection(const StateEntry& entry) {
+  Result<Section> section = ParseSection(
+      entry.name.substr(kSectionPrefix.size()), entry.body);
+  if (!section) {
+    // What was in force stays in force.
+    spdlog::error("{} revision {} is not valid: {}", entry.name,
+                  entry.revision, section.error().detail);
+    return;
+  }
+  sections_.insert_or_assign(entry.name, std::move(section.value()));
+  std::vector<Section> sections;
+  sections.reserve(sections_.size());
+  for (const auto& [name, held] : sections_) {
+    sections.push_back(held);
   }
-  document_ = std::make_shared<SteeringDocument>(sections);
+  written_ = std::make_shared<SteeringDocument>(sections);
+  spdlog::info("{} revision {} is in force", entry.name, entry.revision);
+  MergeTargets();
 }
 
 }  // namespace redwing
--- a/src/config/internal/document_config.h
+++ b/src/config/internal/document_config.h
@@ -1,6 +1,7 @@
 #ifndef REDWING_CONFIG_INTERNAL_DOCUMENT_CONFIG_H_
 #define REDWING_CONFIG_INTERNAL_DOCUMENT_CONFIG_H_
 
+#include <map>
 #include <memory>
 #include <string>
 
@@ -33,11 +34,17 @@
   void HandleEntry(const StateEntry& entry);
   void ApplyKeys(const StateEntry& entry);
   void ApplyListing(const StateEntry& entry);
-  void Rebuild();
+  void ApplySection(const StateEntry& entry);
+  // Adds the targets that the platform lists to the document.
+  void MergeTargets();
 
   std::shared_ptr<ReplicatedState> state_;
   std::shared_ptr<KeyRing> keys_;
   std::shared_ptr<Membership> membership_;
+  // Valid sections by the name of their entry.
+  std::map<std::string, Section> sections_;
+  // As written by operators, without targets that the platform lists.
+  std::shared_ptr<const SteeringDocument> written_;
   std::shared_ptr<const SteeringDocument> document_;
   Drains drains_;
   InstanceList listing_;
--- a/src/config/internal/drains.cc
+++ b/src/config/internal/drains.cc
@@ -10,9 +10,10 @@
 using nlohmann::json;
 using NameSet = std::set<std::string>;
 
-constexpr std::array<std::pair<const char*, NameSet Drains::*>, 4> kFields = {{
+constexpr std::array<std::pair<const char*, NameSet Drains::*>, 5> kFields = {{
     {"targets", &Drains::targets},
     {"failure_domains", &Drains::failure_domains},
+    {"target_failure_domains", &Drains::target_failure_domains},
     {"regions", &Drains::regions},
     {"instances", &Drains::instances},
 }};
--- a/src/config/internal/key_shard.cc
+++ b/src/config/internal/key_shard.cc
@@ -21,8 +21,8 @@
     try {
       KeyRecord record;
       record.id = item.at("id");
-      record.salt = item.at("salt");
-      record.hash = item.at("hash");
+      record.salt = item.value("salt", "");
+      record.hash = item.value("hash", "");
       record.workspace = item.value("workspace", "");
       record.operator_name = item.value("operator", "");
       record.sections = item.value("sections", std::vector<std::string>());
--- a/src/config/internal/listing_codec.cc
+++ b/src/config/internal/listing_codec.cc
@@ -17,7 +17,10 @@
                      {"failure_domain", instance.failure_domain},
                      {"http", instance.http_address},
                      {"peer", instance.peer_address},
-                     {"leaving", instance.leaving}});
+                     {"leaving", instance.leaving},
+                     {"slots", instance.slots},
+                     {"started_at", instance.started_at},
+                     {"warm_up_left_ms", instance.warm_up_left.count()}});
   }
   return {std::string(kListingName), list.version, items.dump()};
 }
@@ -32,10 +35,12 @@
   }
   for (const json& item : items) {
     try {
-      list.instances.push_back({item.at("name"), item.at("service"),
-                                item.at("region"), item.at("failure_domain"),
-                                item.at("http"), item.at("peer"),
-                                item.at("leaving")});
+      list.instances.push_back(
+          {item.at("name"), item.at("service"), item.at("region"),
+           item.at("failure_domain"), item.at("http"), item.at("peer"),
+           item.at("leaving"), item.value("slots", 0),
+           item.value("started_at", uint64_t{0}),
+           Milliseconds(item.value("warm_up_left_ms", int64_t{0}))});
     } catch (const json::exception&) {
       continue;
     }
--- a/src/config/internal/majority_freshness.cc
+++ b/src/config/internal/majority_freshness.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <vector>
 
-#include "config/internal/store_watcher.h"
+#include "config/state_feed.h"
 #include "membership/membership.h"
 
 namespace redwing {
@@ -34,9 +34,9 @@
 
 }  // namespace
 
-MajorityFreshness::MajorityFreshness(std::shared_ptr<StoreWatcher> watcher,
+MajorityFreshness::MajorityFreshness(std::shared_ptr<StateFeed> feed,
                                      Milliseconds limit)
-    : watcher_(std::move(watcher)), limit_(limit) {}
+    : feed_(std::move(feed)), limit_(limit) {}
 
 void MajorityFreshness::Attach(std::shared_ptr<Membership> membership) {
   membership_ = std::move(membership);
@@ -46,7 +46,7 @@
   if (now - checked_at_ >= kCheckInterval) {
     checked_at_ = now;
     const TimePoint as_of =
-        std::max(watcher_->fresh_read(), MajoritySyncedAt(*membership_));
+        std::max(feed_->fresh_read(), MajoritySyncedAt(*membership_));
     fresh_until_ = as_of + limit_;
   }
   return now < fresh_until_;
--- a/src/config/internal/majority_freshness.h
+++ b/src/config/internal/majority_freshness.h
@@ -8,19 +8,19 @@
 namespace redwing {
 
 class Membership;
-class StoreWatcher;
+class StateFeed;
 
 // Freshness from the store's readings and the peers' digests.
 class MajorityFreshness : public Freshness {
  public:
-  MajorityFreshness(std::shared_ptr<StoreWatcher> watcher, Milliseconds limit);
+  MajorityFreshness(std::shared_ptr<StateFeed> feed, Milliseconds limit);
 
   void Attach(std::shared_ptr<Membership> membership);
 
   bool IsFresh(TimePoint now) const override;
 
  private:
-  std::shared_ptr<StoreWatcher> watcher_;
+  std::shared_ptr<StateFeed> feed_;
   std::shared_ptr<Membership> membership_;
   Milliseconds limit_;
   // Counting members on each request would cost in proportion to the fleet.
--- a/src/config/internal/peer_sync.cc
+++ b/src/config/internal/peer_sync.cc
@@ -4,9 +4,9 @@
 #include <boost/asio/post.hpp>
 #include <set>
 
-#include "config/internal/store_watcher.h"
 #include "config/internal/sync_messages.h"
 #include "config/replicated_state.h"
+#include "config/state_feed.h"
 #include "framework/kernel/spawn.h"
 #include "framework/metrics/metrics.h"
 #include "framework/peer/peer_transport.h"
@@ -29,12 +29,12 @@
                    Metrics& metrics,
                    std::shared_ptr<ReplicatedState> state,
                    std::shared_ptr<KeyRing> keys,
-                   std::shared_ptr<StoreWatcher> watcher)
+                   std::shared_ptr<StateFeed> feed)
     : io_(io),
       metrics_(metrics),
       state_(std::move(state)),
       keys_(std::move(keys)),
-      watcher_(std::move(watcher)),
+      feed_(std::move(feed)),
       push_task_(io, kPushInterval, [this]() { PushPending(); }) {}
 
 void PeerSync::Attach(std::shared_ptr<PeerTransport> transport,
@@ -88,7 +88,7 @@
   WithdrawalStatus status;
   status.listed = membership_->listed_count();
   status.acknowledged = keys_->IsWithdrawn(key_id) ? 1 : 0;
-  status.stored = watcher_->IsStored(key_id);
+  status.stored = feed_->IsStored(key_id);
   const auto push = pushes_.find(key_id);
   std::set<std::string> missing;
   for (const auto& [name, member] : membership_->members()) {
--- a/src/config/internal/peer_sync.h
+++ b/src/config/internal/peer_sync.h
@@ -19,7 +19,7 @@
 class Metrics;
 class PeerTransport;
 class ReplicatedState;
-class StoreWatcher;
+class StateFeed;
 struct Envelope;
 struct Heartbeat;
 
@@ -31,7 +31,7 @@
            Metrics& metrics,
            std::shared_ptr<ReplicatedState> state,
            std::shared_ptr<KeyRing> keys,
-           std::shared_ptr<StoreWatcher> watcher);
+           std::shared_ptr<StateFeed> feed);
 
   void Attach(std::shared_ptr<PeerTransport> transport,
               std::shared_ptr<Membership> membership);
@@ -60,7 +60,7 @@
   Metrics& metrics_;
   std::shared_ptr<ReplicatedState> state_;
   std::shared_ptr<KeyRing> keys_;
-  std::shared_ptr<StoreWatcher> watcher_;
+  std::shared_ptr<StateFeed> feed_;
   std::shared_ptr<PeerTransport> transport_;
   std::shared_ptr<Membership> membership_;
   // When a pull from each peer was last begun.
--- /dev/null
+++ b/src/config/internal/source_feed.cc
@@ -0,0 +1,121 @@
+#include "config/internal/source_feed.h"
+
+#include "config/internal/watcher_election.h"
+#include "config/listing_codec.h"
+#include "config/replicated_state.h"
+#include "framework/kernel/sleep.h"
+#include "framework/kernel/spawn.h"
+#include "framework/log/log.h"
+#include "membership/identity.h"
+#include "membership/membership.h"
+#include "store/instance_directory.h"
+
+namespace redwing {
+
+namespace {
+// A store that fails is asked again this often by each watcher.
+constexpr Milliseconds kRetryInterval{400};
+// How often an instance that is no watcher looks whether it has become one.
+constexpr Milliseconds kElectionInterval{250};
+}  // namespace
+
+SourceFeed::SourceFeed(boost::asio::io_context& io,
+                       std::shared_ptr<ReplicatedState> state,
+                       std::shared_ptr<Identity> identity,
+                       ConfigOptions options)
+    : io_(io),
+      state_(std::move(state)),
+      identity_(std::move(identity)),
+      options_(options) {}
+
+void SourceFeed::Attach(std::shared_ptr<StateSource> source,
+                        std::shared_ptr<InstanceDirectory> directory,
+                        std::shared_ptr<Membership> membership) {
+  source_ = std::move(source);
+  directory_ = std::move(directory);
+  membership_ = std::move(membership);
+}
+
+void SourceFeed::Start() {
+  unread_.insert(std::string(kListingName));
+  for (const std::string& kind : source_->Kinds()) {
+    unread_.insert(kind);
+    Spawn(io_, [this, kind](const Yield& yield) { FollowKind(kind, yield); });
+  }
+  Spawn(io_, [this](const Yield& yield) { FollowListing(yield); });
+}
+
+bool SourceFeed::ReadsStore() const {
+  return !state_->complete() || IsWatcher(*identity_, *membership_);
+}
+
+void SourceFeed::FollowKind(const std::string& kind, const Yield& yield) {
+  while (!stopped_) {
+    if (!ReadsStore()) {
+      SleepFor(io_, kElectionInterval, yield);
+      continue;
+    }
+    const TimePoint begun = Clock::now();
+    const Result<StateReading> reading = source_->Read(kind, yield);
+    if (!reading) {
+      SleepFor(io_, kRetryInterval, yield);
+      continue;
+    }
+    for (const StateEntry& entry : reading.value().entries) {
+      ApplyIfChanged(entry);
+    }
+    NoteRead(kind, begun);
+    AwaitChange(kind, reading.value().version, yield);
+  }
+}
+
+void SourceFeed::AwaitChange(const std::string& kind,
+                             uint64_t version,
+                             const Yield& yield) {
+  while (!stopped_ && ReadsStore()) {
+    const Result<ChangeWait> waited =
+        source_->AwaitChange(kind, version, options_.change_wait, yield);
+    if (!waited) {
+      spdlog::info("watch of {} after version {} ended: {}", kind, version,
+                   waited.error().detail);
+      SleepFor(io_, kRetryInterval, yield);
+      return;
+    }
+    if (waited.value().changed) {
+      return;
+    }
+    version = waited.value().version;
+  }
+}
+
+void SourceFeed::FollowListing(const Yield& yield) {
+  while (!stopped_) {
+    if (!ReadsStore()) {
+      SleepFor(io_, kElectionInterval, yield);
+      continue;
+    }
+    const TimePoint begun = Clock::now();
+    const Result<InstanceList> list = directory_->ListInstances(yield);
+    if (list) {
+      ApplyIfChanged(EncodeListing(list.value()));
+      NoteRead(std::string(kListingName), begun);
+    }
+    SleepFor(io_, list ? options_.listing_interval : kRetryInterval, yield);
+  }
+}
+
+void SourceFeed::ApplyIfChanged(const StateEntry& entry) {
+  const StateEntry* const held = state_->Find(entry.name);
+  if (held == nullptr || held->body != entry.body) {
+    state_->Apply(entry);
+  }
+}
+
+void SourceFeed::NoteRead(const std::string& what, TimePoint begun) {
+  fresh_read_ = begun;
+  if (unread_.erase(what) > 0 && unread_.empty()) {
+    state_->MarkComplete();
+  }
+}
+
+}  // namespace redwing
--- a/src/config/internal/store_watcher.cc
+++ b/src/config/internal/store_watcher.cc
@@ -1,22 +1,20 @@
 #include "config/internal/store_watcher.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 
+#include "config/internal/watcher_election.h"
 #include "config/key_shard.h"
 #include "config/listing_codec.h"
 #include "config/replicated_state.h"
+#include "config/state_object.h"
 #include "framework/kernel/sleep.h"
 #include "framework/kernel/spawn.h"
 #include "framework/log/log.h"
-#include "framework/wire/digest.h"
 #include "keys/key_ring.h"
 #include "membership/identity.h"
 #include "membership/membership.h"
-#include "platform/instance_directory.h"
-#include "platform/object_store.h"
+#include "store/instance_directory.h"
+#include "store/object_store.h"
 
 namespace redwing {
 
@@ -30,10 +28,6 @@
 // hold them; readings count as fresh only after this time.
 constexpr Milliseconds kStoreSettleTime{3000};
 
-uint64_t RendezvousScore(std::string_view region, std::string_view instance) {
-  return Hash64(fmt::format("{}/{}", region, instance));
-}
-
 }  // namespace
 
 StoreWatcher::StoreWatcher(boost::asio::io_context& io,
@@ -59,15 +53,7 @@
 }
 
 bool StoreWatcher::is_watcher() const {
-  const uint64_t own = RendezvousScore(identity_->region, identity_->name);
-  const std::ptrdiff_t before = std::count_if(
-      membership_->members().begin(), membership_->members().end(),
-      [this, own](const Membership::MemberMap::value_type& item) {
-        const Member& member = item.second;
-        return member.usable() && member.region == identity_->region &&
-               RendezvousScore(member.region, member.name) > own;
-      });
-  return static_cast<size_t>(before) < kWatchersPerRegion;
+  return IsWatcher(*identity_, *membership_);
 }
 
 void StoreWatcher::WatchLoop(const Yield& yield) {
@@ -148,11 +134,10 @@
     MergeWithdrawals(object);
     return;
   }
-  if (!object.spec.is_object() || !object.spec.contains("body")) {
-    return;
+  const std::optional<StateEntry> entry = DecodeStateEntry(object);
+  if (entry) {
+    state_->Apply(*entry);
   }
-  state_->Apply({object.name, object.spec.value("revision", uint64_t{0}),
-                 object.spec.at("body").dump()});
 }
 
 void StoreWatcher::MergeWithdrawals(const StoredObject& object) {
--- a/src/config/internal/store_watcher.h
+++ b/src/config/internal/store_watcher.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 
+#include "config/state_feed.h"
 #include "framework/errors/result.h"
 #include "framework/http/http_types.h"
 #include "framework/kernel/clock.h"
@@ -24,10 +25,8 @@
 // each region, by rendezvous order, watch the state, poll the withdrawals and
 // the platform's list; the others read the store once, at start, and then hear
 // from peers.
-class StoreWatcher {
+class StoreWatcher : public StateFeed {
  public:
-  static constexpr size_t kWatchersPerRegion = 2;
-
   StoreWatcher(boost::asio::io_context& io,
                std::shared_ptr<ReplicatedState> state,
                std::shared_ptr<KeyRing> keys,
@@ -36,18 +35,16 @@
   void Attach(std::shared_ptr<ObjectStore> store,
               std::shared_ptr<InstanceDirectory> directory,
               std::shared_ptr<Membership> membership);
-  void Start();
-  void Stop() { stopped_ = true; }
+  void Start() override;
+  void Stop() override { stopped_ = true; }
 
-  // Begin time of the last reading of the withdrawals that counts as fresh.
-  TimePoint fresh_read() const { return fresh_read_; }
-  // Returns whether a withdrawal was seen in the store.
-  bool IsStored(const std::string& key_id) const {
+  TimePoint fresh_read() const override { return fresh_read_; }
+  bool IsStored(const std::string& key_id) const override {
     return stored_withdrawals_.count(key_id) > 0;
   }
-  bool is_watcher() const;
 
  private:
+  bool is_watcher() const;
   void WatchLoop(const Yield& yield);
   void PollLoop(const Yield& yield);
   Result<std::string> ReadAll(const Yield& yield);
--- /dev/null
+++ b/src/config/internal/watcher_election.cc
@@ -0,0 +1,33 @@
+#include "config/internal/watcher_election.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "framework/wire/digest.h"
+#include "membership/identity.h"
+#include "membership/membership.h"
+
+namespace redwing {
+
+namespace {
+
+uint64_t RendezvousScore(std::string_view region, std::string_view instance) {
+  return Hash64(fmt::format("{}/{}", region, instance));
+}
+
+}  // namespace
+
+bool IsWatcher(const Identity& identity, const Membership& membership) {
+  const uint64_t own = RendezvousScore(identity.region, identity.name);
+  const std::ptrdiff_t before = std::count_if(
+      membership.members().begin(), membership.members().end(),
+      [&identity, own](const Membership::MemberMap::value_type& item) {
+        const Member& member = item.second;
+        return member.usable() && member.region == identity.region &&
+               RendezvousScore(member.region, member.name) > own;
+      });
+  return static_cast<size_t>(before) < kWatchersPerRegion;
+}
+
+}  // namespace redwing
--- a/src/config/listing_codec.h
+++ b/src/config/listing_codec.h
@@ -4,7 +4,7 @@
 #include <string>
 
 #include "config/state_entry.h"
-#include "platform/instance_directory.h"
+#include "store/instance_directory.h"
 
 namespace redwing {
 
--- a/src/config/steering_config.h
+++ b/src/config/steering_config.h
@@ -6,7 +6,7 @@
 
 #include "config/drains.h"
 #include "framework/kernel/channel.h"
-#include "platform/instance_directory.h"
+#include "store/instance_directory.h"
 #include "steering/steering_document.h"
 
 namespace redwing {
--- a/src/delivery/delivery_module.h
+++ b/src/delivery/delivery_module.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "delivery/delivery_options.h"
 #include "framework/kernel/module.h"
 
 namespace redwing {
@@ -14,8 +15,9 @@
 // Carries requests to targets and to other entries.
 class DeliveryModule : public Module {
  public:
-  explicit DeliveryModule(std::vector<std::string> secrets)
-      : secrets_(std::move(secrets)) {}
+  explicit DeliveryModule(std::vector<std::string> secrets,
+                          DeliveryOptions options = {})
+      : secrets_(std::move(secrets)), options_(std::move(options)) {}
   ~DeliveryModule() override;
 
   std::string_view Name() const override { return "delivery"; }
@@ -26,6 +28,7 @@
 
  private:
   std::vector<std::string> secrets_;
+  DeliveryOptions options_;
   std::shared_ptr<RequestCarrier> carrier_;
 };
 
--- /dev/null
+++ b/src/delivery/delivery_options.h
@@ -0,0 +1,21 @@
+#ifndef REDWING_DELIVERY_DELIVERY_OPTIONS_H_
+#define REDWING_DELIVERY_DELIVERY_OPTIONS_H_
+
+#include "delivery/header_dialect.h"
+#include "delivery/retry_options.h"
+
+namespace redwing {
+
+// How requests are carried.
+struct DeliveryOptions {
+  HeaderDialect dialect;
+  RetryOptions retries;
+  // Holds an answer until it is whole, so that a broken one of an idempotent
+  // request can be asked for again. Answers beyond the limit of remembered
+  // ones are handed on as they come.
+  bool hold_answers = false;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_DELIVERY_DELIVERY_OPTIONS_H_
--- a/src/delivery/internal/caller_key.cc
+++ b/src/delivery/internal/caller_key.cc
@@ -65,6 +65,10 @@
   return found.empty() ? std::string() : found.front();
 }
 
+std::string FindBearerKey(const RequestHeader& header) {
+  return BearerOf(StdView(header[http::field::authorization]));
+}
+
 bool ContainsKey(std::string_view text, std::string_view key) {
   if (key.empty()) {
     return false;
--- a/src/delivery/internal/caller_key.h
+++ b/src/delivery/internal/caller_key.h
@@ -15,6 +15,9 @@
 // kMalformedRequest when two places name different keys.
 Result<std::string> FindCallerKey(const RequestHeader& header, const Url& url);
 
+// Finds a key in the field Authorization alone; empty when there is none.
+std::string FindBearerKey(const RequestHeader& header);
+
 // Returns whether a text contains the key, plainly or percent-encoded.
 bool ContainsKey(std::string_view text, std::string_view key);
 
--- a/src/delivery/internal/delivery_module.cc
+++ b/src/delivery/internal/delivery_module.cc
@@ -10,7 +10,7 @@
 #include "keys/key_ring.h"
 #include "membership/identity.h"
 #include "membership/membership.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 #include "routing/entry_lookup.h"
 #include "routing/target_router.h"
 
@@ -31,7 +31,7 @@
   services.store = kernel.Find<ObjectStore>();
   carrier_ = std::make_shared<RequestCarrier>(
       kernel.io(), *kernel.Find<SocketRegistry>(), *kernel.Find<Metrics>(),
-      std::move(services), secrets_);
+      std::move(services), secrets_, options_);
   kernel.Register<RequestHandler>(carrier_);
 }
 
--- a/src/delivery/internal/header_rules.h
+++ b/src/delivery/internal/header_rules.h
@@ -10,17 +10,11 @@
 // Prefix of the fields that only redwingcart sets.
 inline constexpr std::string_view kInternalPrefix = "X-Redwing-";
 inline constexpr std::string_view kHopField = "X-Redwing-Hop";
-inline constexpr std::string_view kWorkspaceField = "X-Redwing-Workspace";
-inline constexpr std::string_view kDeadlineField = "X-Redwing-Deadline-Ms";
 inline constexpr std::string_view kVerdictField = "X-Redwing-Verdict";
 inline constexpr std::string_view kInstanceField = "X-Redwing-Instance";
-inline constexpr std::string_view kRequestIdField = "X-Request-Id";
-inline constexpr std::string_view kTimeoutField = "X-Request-Timeout-Ms";
 // Identifies one attempt. A target that echoes it lets the entry notice an
 // answer that belongs to another request.
 inline constexpr std::string_view kAttemptField = "X-Redwing-Attempt";
-// A target that sheds a request without running it says so with this field.
-inline constexpr std::string_view kNotRunField = "X-Request-Not-Run";
 
 // Removes the fields that concern one connection only: those of RFC 9110
 // section 7.6.1 and those named by Connection.
--- a/src/delivery/internal/hop_token.h
+++ b/src/delivery/internal/hop_token.h
@@ -20,13 +20,20 @@
   std::string request_id;
   // Method and target, so that a token fits one request only.
   std::string request_line;
+  // Name of the route by host, the service chosen, and the target as the
+  // caller wrote it; empty when the route is one of the service.
+  std::string host_route;
+  std::string service;
+  std::string target;
+  // Targets to which the request may still be sent.
+  uint32_t attempts = 1;
   uint32_t remaining_ms = 0;
   bool owner_hop = false;
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(to_process, from_region, workspace, key_id, request_id,
-            request_line, remaining_ms, owner_hop);
+            request_line, host_route, service, target, attempts, remaining_ms, owner_hop);
   }
 };
 
--- a/src/delivery/internal/idempotency_claims.cc
+++ b/src/delivery/internal/idempotency_claims.cc
@@ -3,7 +3,7 @@
 #include "framework/kernel/clock.h"
 #include "framework/wire/digest.h"
 #include "membership/identity.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 namespace redwing {
 
--- a/src/delivery/internal/request_admitter.cc
+++ b/src/delivery/internal/request_admitter.cc
@@ -24,6 +24,13 @@
 constexpr size_t kMaxIdempotencyKey = 256;
 constexpr size_t kRequestIdBytes = 12;
 
+std::string_view WithoutPort(std::string_view host) {
+  const size_t colon = host.rfind(':');
+  const bool bracketed = !host.empty() && host.back() == ']';
+  return colon == std::string_view::npos || bracketed ? host
+                                                      : host.substr(0, colon);
+}
+
 bool IsPlainText(std::string_view text, size_t max_size) {
   return !text.empty() && text.size() <= max_size &&
          std::all_of(text.begin(), text.end(), [](char c) {
@@ -37,15 +44,18 @@
                                  std::shared_ptr<SteeringConfig> config,
                                  std::shared_ptr<KeyRing> keys,
                                  std::shared_ptr<Freshness> freshness,
-                                 const HopSigner& signer)
+                                 const HopSigner& signer,
+                                 const HeaderDialect& dialect)
     : identity_(std::move(identity)),
       config_(std::move(config)),
       keys_(std::move(keys)),
       freshness_(std::move(freshness)),
-      signer_(signer) {}
+      signer_(signer),
+      dialect_(dialect) {}
 
-Result<RequestContext> RequestAdmitter::Admit(
-    const HttpExchange& exchange) const {
+Result<RequestContext> RequestAdmitter::Admit(const HttpExchange& exchange,
+                                              Addressing addressing,
+                                              double point) const {
   if (!config_->ready()) {
     return NotRun(Errc::kNotReady, "this instance has no configuration yet",
                   Milliseconds(1000));
@@ -56,17 +66,31 @@
   }
   RequestContext context;
   context.document = config_->document();
-  const Result<void> routed = FindRoute(exchange, *url, &context);
+  context.begun = Clock::now();
+  const bool by_host = addressing == Addressing::kByHost;
+  const bool hop = !by_host && !exchange.Header(kHopField).empty();
+  const Result<HopToken> token =
+      hop ? signer_.Verify(exchange.Header(kHopField)) : HopToken();
+  if (!token) {
+    return token.error();
+  }
+  const Result<void> routed =
+      by_host ? FindHostRoute(exchange, point, &context)
+      : !token.value().host_route.empty()
+          ? FindForwardedRoute(token.value(), &context)
+          : FindRoute(exchange, *url, &context);
   if (!routed) {
     return routed.error();
   }
   SetDeadline(exchange, &context);
-  const bool hop = !exchange.Header(kHopField).empty();
-  const Result<void> checked = hop ? CheckHop(exchange, &context)
-                                   : CheckCaller(exchange, *url, &context);
+  const Result<void> checked =
+      hop       ? CheckHop(exchange, token.value(), &context)
+      : by_host ? CheckHostCaller(exchange, &context)
+                : CheckCaller(exchange, *url, &context);
   if (!checked) {
     return checked.error();
   }
+  context.affinity_key = exchange.Header(dialect_.affinity_key);
   context.idempotency_key = exchange.Header("Idempotency-Key");
   if (!context.idempotency_key.empty() &&
       !IsPlainText(context.idempotency_key, kMaxIdempotencyKey)) {
@@ -90,12 +114,16 @@
   RemoveHopByHopFields(&header);
   RemoveKeyFields(&header, key ? key.value() : "");
   RemoveInternalFields(&header);
-  header.erase(std::string(kTimeoutField));
+  header.erase(dialect_.caller_timeout);
+  header.erase(dialect_.workspace);
+  if (!dialect_.target_instance.empty()) {
+    header.erase(dialect_.target_instance);
+  }
   header.version(11);
   header.target(BeastView(context.target));
-  header.set(BeastView(kRequestIdField), context.request_id);
+  header.set(BeastView(dialect_.request_id), context.request_id);
   if (context.workspace != nullptr) {
-    header.set(BeastView(kWorkspaceField), context.workspace->name);
+    header.set(BeastView(dialect_.workspace), context.workspace->name);
   }
   // By the caller's own header: a small body has been read ahead by now.
   if (exchange.request().count(http::field::transfer_encoding) > 0) {
@@ -104,6 +132,46 @@
   return header;
 }
 
+Result<void> RequestAdmitter::FindHostRoute(const HttpExchange& exchange,
+                                            double point,
+                                            RequestContext* context) const {
+  const std::string_view target = exchange.target();
+  const std::string_view path = target.substr(0, target.find('?'));
+  const std::string_view host = WithoutPort(StdView(
+      exchange.request()[http::field::host]));
+  const HostRoute* const found = context->document->FindHostRoute(host, path);
+  if (found == nullptr) {
+    return NotRun(Errc::kUnknownRoute,
+                  fmt::format("no route for host \"{}\" and this path", host));
+  }
+  context->host_route = found;
+  context->route = &found->route;
+  context->target = target;
+  context->max_attempts = found->route.max_attempts;
+  const std::string& service = found->ServiceAt(point);
+  context->service = context->document->FindService(service);
+  if (context->service == nullptr) {
+    return NotRun(Errc::kNoTarget,
+                  fmt::format("service \"{}\" is not known here", service),
+                  Milliseconds(1000));
+  }
+  return boost::outcome_v2::success();
+}
+
+Result<void> RequestAdmitter::FindForwardedRoute(
+    const HopToken& token,
+    RequestContext* context) const {
+  context->host_route = context->document->FindHostRouteByName(token.host_route);
+  context->service = context->document->FindService(token.service);
+  if (context->host_route == nullptr || context->service == nullptr) {
+    // The forwarding entry has another revision of the configuration.
+    return NotRun(Errc::kNotReady, "the route is not known here");
+  }
+  context->route = &context->host_route->route;
+  context->target = token.target;
+  return boost::outcome_v2::success();
+}
+
 Result<void> RequestAdmitter::FindRoute(const HttpExchange& exchange,
                                         const Url& url,
                                         RequestContext* context) const {
@@ -146,15 +214,42 @@
     return NotRun(Errc::kMalformedRequest, "the path contains the key");
   }
   context->target += QueryWithoutKey(url, key.value());
-  const std::string_view given_id = exchange.Header(kRequestIdField);
-  context->request_id = IsPlainText(given_id, kMaxRequestId) &&
-                                !ContainsKey(given_id, key.value())
-                            ? std::string(given_id)
-                            : RandomHex(kRequestIdBytes);
+  context->request_id = RequestIdOf(exchange, key.value());
   if (context->route->open) {
     return boost::outcome_v2::success();
   }
-  const Result<const KeyRecord*> record = keys_->Check(key.value());
+  return CheckKey(key.value(), context);
+}
+
+Result<void> RequestAdmitter::CheckHostCaller(const HttpExchange& exchange,
+                                              RequestContext* context) const {
+  const std::string key = FindBearerKey(exchange.request());
+  if (ContainsKey(context->target, key)) {
+    return NotRun(Errc::kMalformedRequest, "the target contains the key");
+  }
+  context->request_id = RequestIdOf(exchange, key);
+  if (!context->route->open) {
+    return CheckKey(key, context);
+  }
+  // On an open route a key only tells whose request it is.
+  if (!key.empty() && !CheckKey(key, context)) {
+    context->workspace = nullptr;
+    context->key_id.clear();
+  }
+  return boost::outcome_v2::success();
+}
+
+std::string RequestAdmitter::RequestIdOf(const HttpExchange& exchange,
+                                         const std::string& key) const {
+  const std::string_view given = exchange.Header(dialect_.request_id);
+  return IsPlainText(given, kMaxRequestId) && !ContainsKey(given, key)
+             ? std::string(given)
+             : RandomHex(kRequestIdBytes);
+}
+
+Result<void> RequestAdmitter::CheckKey(const std::string& key,
+                                       RequestContext* context) const {
+  const Result<const KeyRecord*> record = keys_->Check(key);
   if (!record) {
     return record.error();
   }
@@ -177,12 +272,8 @@
 }
 
 Result<void> RequestAdmitter::CheckHop(const HttpExchange& exchange,
+                                       const HopToken& token,
                                        RequestContext* context) const {
-  const Result<HopToken> verified = signer_.Verify(exchange.Header(kHopField));
-  if (!verified) {
-    return verified.error();
-  }
-  const HopToken& token = verified.value();
   const std::string request_line =
       fmt::format("{} {}", exchange.method(), exchange.target());
   if (token.request_line != request_line ||
@@ -190,10 +281,11 @@
     return NotRun(Errc::kBadMessage, "the hop token is for another request");
   }
   const size_t question = exchange.target().find('?');
-  if (question != std::string_view::npos) {
+  if (question != std::string_view::npos && token.host_route.empty()) {
     context->target += exchange.target().substr(question);
   }
   context->request_id = token.request_id;
+  context->max_attempts = static_cast<int>(token.attempts);
   context->from_region = token.from_region;
   context->owner_hop = token.owner_hop;
   context->key_id = token.key_id;
@@ -217,7 +309,7 @@
 void RequestAdmitter::SetDeadline(const HttpExchange& exchange,
                                   RequestContext* context) const {
   Milliseconds timeout = context->route->timeout;
-  const std::string_view text = exchange.Header(kTimeoutField);
+  const std::string_view text = exchange.Header(dialect_.caller_timeout);
   int64_t wanted = 0;
   const std::from_chars_result parsed =
       std::from_chars(text.data(), text.data() + text.size(), wanted);
--- a/src/delivery/internal/request_carrier.cc
+++ b/src/delivery/internal/request_carrier.cc
@@ -12,6 +12,7 @@
 #include "delivery/internal/upstream_attempt.h"
 #include "framework/http/http_exchange.h"
 #include "framework/http/refusal.h"
+#include "framework/log/log.h"
 #include "framework/metrics/metrics.h"
 #include "framework/settings/endpoint.h"
 #include "framework/wire/digest.h"
@@ -25,7 +26,7 @@
 
 namespace {
 
-constexpr int kMaxTries = 4;
+constexpr unsigned kFirstServerError = 500;
 constexpr size_t kIdlePerEndpoint = 64;
 constexpr size_t kMaxKeyedBody = 1024 * 1024;  // bytes
 // Added to the body sizes to estimate what a message takes on a link.
@@ -40,9 +41,10 @@
 constexpr std::array<Errc, 5> kRefusedBeforeSending = {
     Errc::kNoTarget, Errc::kQueueFull, Errc::kRegionFull, Errc::kLinkFull,
     Errc::kPeerUnreachable};
-constexpr std::array<Errc, 6> kWorthAnotherTry = {
-    Errc::kTargetShed,    Errc::kTargetUnreachable, Errc::kTargetBroken,
-    Errc::kTargetTimeout, Errc::kNotReady,          Errc::kLeaving};
+constexpr std::array<Errc, 7> kWorthAnotherTry = {
+    Errc::kTargetShed,   Errc::kTargetMoved,   Errc::kTargetUnreachable,
+    Errc::kTargetBroken, Errc::kTargetTimeout, Errc::kNotReady,
+    Errc::kLeaving};
 
 template <size_t kSize>
 bool Contains(const std::array<Errc, kSize>& list, Errc errc) {
@@ -61,6 +63,8 @@
   switch (result.error().errc) {
     case Errc::kTargetShed:
       return AttemptOutcome::kShed;
+    case Errc::kTargetMoved:
+      return AttemptOutcome::kMoved;
     case Errc::kTargetUnreachable:
     case Errc::kTargetBroken:
     case Errc::kTargetTimeout:
@@ -88,19 +92,23 @@
                                SocketRegistry& sockets,
                                Metrics& metrics,
                                CarrierServices services,
-                               std::vector<std::string> secrets)
+                               std::vector<std::string> secrets,
+                               DeliveryOptions options)
     : io_(io),
       metrics_(metrics),
       services_(std::move(services)),
       signer_(std::move(secrets)),
+      options_(std::move(options)),
       admitter_(services_.identity,
                 services_.config,
                 services_.keys,
                 services_.freshness,
-                signer_),
+                signer_,
+                options_.dialect),
       pool_(io, sockets, metrics, kIdlePerEndpoint),
       table_(Clock::now()),
       claims_(services_.store, services_.identity),
+      retry_budget_(options_.retries),
       random_(std::random_device{}()),
       close_idle_(io, kCloseIdleInterval, [this]() {
         pool_.CloseIdle(Clock::now());
@@ -120,18 +128,35 @@
     // its own request.
     exchange.EchoField(kAttemptField);
   }
-  const Result<RequestContext> context = admitter_.Admit(exchange);
+  CarryAddressed(exchange, Addressing::kByService, yield);
+}
+
+void RequestCarrier::CarryByHost(HttpExchange& exchange, const Yield& yield) {
+  CarryAddressed(exchange, Addressing::kByHost, yield);
+}
+
+void RequestCarrier::CarryAddressed(HttpExchange& exchange,
+                                    Addressing addressing,
+                                    const Yield& yield) {
+  const double point = std::uniform_real_distribution<double>()(random_);
+  const Result<RequestContext> context =
+      admitter_.Admit(exchange, addressing, point);
   if (!context) {
     metrics_
         .Get("redwing_refused_total", "Requests refused, in requests",
              {{"error", ErrcName(context.error().errc)}})
         .Add();
+    spdlog::info("request {} is not admitted: {} ({})",
+                 exchange.Header(options_.dialect.request_id),
+                 ErrcName(context.error().errc), context.error().detail);
     SendRefusal(exchange, context.error(), yield);
     return;
   }
   const Result<void> carried = CarryAdmitted(context.value(), exchange, yield);
   CountOutcome(context.value(), carried ? nullptr : &carried.error());
-  if (!carried && !exchange.response_begun() && !exchange.broken()) {
+  if (!carried && carried.error().errc == Errc::kCallerGone) {
+    exchange.Break();
+  } else if (!carried && !exchange.response_begun() && !exchange.broken()) {
     SendRefusal(exchange, carried.error(), yield);
   }
 }
@@ -152,21 +177,42 @@
   }
   retry_budget_.CountRequest();
   Delivery delivery(context, body, exchange);
-  return keyed ? CarryKeyed(delivery, yield) : Deliver(delivery, yield);
+  if (keyed) {
+    const Result<void> result = CarryKeyed(delivery, yield);
+    LogOutcome(delivery, result ? nullptr : &result.error());
+    return result;
+  }
+  delivery.collect =
+      options_.hold_answers && exchange.request().method() != http::verb::head;
+  if (body.whole()) {
+    exchange.WatchCaller(
+        [&delivery]() { delivery.cancellation.Cancel(); });
+  }
+  const Result<void> result = Deliver(delivery, yield);
+  exchange.EndWatch();
+  LogOutcome(delivery, result ? nullptr : &result.error());
+  if (result && delivery.answer) {
+    exchange.Respond(delivery.answer->header, delivery.answer->body, yield);
+  }
+  return result;
 }
 
 Result<void> RequestCarrier::Deliver(Delivery& delivery, const Yield& yield) {
   Failure last =
       NotRun(Errc::kNoTarget, "no region serves this now", Milliseconds(1000));
   bool may_have_run = false;
-  for (int attempt = 0; attempt < kMaxTries; ++attempt) {
+  std::optional<StoredAnswer> fallback;
+  while (true) {
     const std::optional<std::string> region = ChooseRegion(delivery);
     if (!region) {
       break;
     }
-    const Result<void> result = *region == services_.identity->region
-                                    ? TryLocal(delivery, yield)
-                                    : TryRegion(delivery, *region, yield);
+    const Result<void> result = TryOnce(delivery, *region, yield);
+    if (result && MayReplace(delivery)) {
+      fallback = std::move(delivery.answer);
+      delivery.answer.reset();
+      continue;
+    }
     if (result) {
       return result;
     }
@@ -180,19 +226,43 @@
              {{"after", ErrcName(last.errc)}})
         .Add();
   }
+  if (fallback && !delivery.cancellation.cancelled()) {
+    delivery.answer = std::move(fallback);
+    return boost::outcome_v2::success();
+  }
   if (may_have_run && last.verdict == Verdict::kNotRun) {
     last.verdict = Verdict::kMayHaveRun;
   }
   return last;
 }
 
+Result<void> RequestCarrier::TryOnce(Delivery& delivery,
+                                     const std::string& region,
+                                     const Yield& yield) {
+  return region == services_.identity->region
+             ? TryLocal(delivery, yield)
+             : TryRegion(delivery, region, yield);
+}
+
+bool RequestCarrier::CanRepeat(const Delivery& delivery) {
+  return delivery.body.replayable() && !delivery.exchange.response_begun() &&
+         !delivery.exchange.broken() && !delivery.cancellation.cancelled() &&
+         delivery.sent < delivery.context.max_attempts &&
+         Clock::now() < delivery.context.deadline;
+}
+
+bool RequestCarrier::MayReplace(const Delivery& delivery) {
+  return delivery.answer &&
+         delivery.answer->header.result_int() >= kFirstServerError &&
+         delivery.context.route->idempotent && CanRepeat(delivery) &&
+         retry_budget_.TrySpend();
+}
+
 bool RequestCarrier::MayTryAgain(const Delivery& delivery,
                                  const Failure& failure) {
   const bool safe =
       failure.verdict == Verdict::kNotRun || delivery.context.route->idempotent;
-  if (!safe || !delivery.body.replayable() ||
-      delivery.exchange.response_begun() || delivery.exchange.broken() ||
-      Clock::now() >= delivery.context.deadline) {
+  if (!safe || !CanRepeat(delivery)) {
     return false;
   }
   if (Contains(kRefusedBeforeSending, failure.errc)) {
@@ -202,35 +272,64 @@
 }
 
 std::optional<std::string> RequestCarrier::ChooseRegion(
-    const Delivery& delivery) const {
+    Delivery& delivery) const {
+  const RequestContext& context = delivery.context;
   const std::string& own = services_.identity->region;
-  const std::string& service = delivery.context.service->name;
-  const bool own_left = delivery.tried_regions.count(own) == 0;
-  if (own_left && (!delivery.context.may_forward() ||
+  const std::string& service = context.service->name;
+  const bool own_allowed = context.MayRunIn(own);
+  const bool own_left =
+      own_allowed && delivery.tried_regions.count(own) == 0;
+  if (own_left && (!context.may_forward() ||
                    services_.router->HasUsableTarget(service))) {
     return own;
   }
-  if (!delivery.context.may_forward()) {
+  if (!context.may_forward()) {
     return std::nullopt;
   }
+  const std::vector<std::string> regions = OtherRegions(delivery);
+  if (!regions.empty()) {
+    // Spread by request, so that the other regions share what moves.
+    return regions[Hash64(context.request_id) % regions.size()];
+  }
+  if (!own_allowed || delivery.patient ||
+      !services_.router->HasUsableTarget(service)) {
+    return std::nullopt;
+  }
+  // No region has a free slot: wait for one here.
+  delivery.patient = true;
+  return own;
+}
+
+std::vector<std::string> RequestCarrier::OtherRegions(
+    const Delivery& delivery) const {
   std::vector<std::string> regions;
-  for (const std::string& region : services_.router->RegionsOf(service)) {
+  for (const std::string& region :
+       services_.router->RegionsOf(delivery.context.service->name)) {
     const bool reachable = std::any_of(
         services_.membership->members().begin(),
         services_.membership->members().end(),
         [&region](const Membership::MemberMap::value_type& item) {
           return item.second.usable() && item.second.region == region;
         });
-    if (reachable && region != own &&
+    if (reachable && region != services_.identity->region &&
+        delivery.context.MayRunIn(region) &&
         delivery.tried_regions.count(region) == 0) {
       regions.push_back(region);
     }
   }
-  if (regions.empty()) {
-    return std::nullopt;
-  }
-  // Spread by request, so that the other regions share what moves.
-  return regions[Hash64(delivery.context.request_id) % regions.size()];
+  return regions;
+}
+
+AttemptPlan RequestCarrier::PlanFor(const Delivery& delivery) const {
+  const RequestContext& context = delivery.context;
+  AttemptPlan plan;
+  plan.header = admitter_.TargetHeader(context, delivery.exchange);
+  plan.deadline = context.deadline;
+  plan.collect = delivery.collect;
+  plan.response_link = ResponseLink(context);
+  plan.request_id = context.request_id;
+  plan.runs_once = context.runs_once();
+  return plan;
 }
 
 Result<void> RequestCarrier::TryLocal(Delivery& delivery, const Yield& yield) {
@@ -240,21 +339,29 @@
     delivery.tried_regions.insert(services_.identity->region);
     return lease.error();
   }
+  if (delivery.cancellation.cancelled()) {
+    lease.value().SetOutcome(AttemptOutcome::kCancelled);
+    return NotRun(Errc::kCallerGone, "caller is gone");
+  }
   const Target& target = lease.value().state().target();
   delivery.tried_targets.insert(target.name);
   delivery.last_failure_domain = target.failure_domain;
-  AttemptPlan plan;
+  ++delivery.sent;
+  AttemptPlan plan = PlanFor(delivery);
   plan.endpoint = lease.value().state().endpoint();
-  plan.header = admitter_.TargetHeader(context, delivery.exchange);
-  plan.header.set(BeastView(kDeadlineField),
+  plan.header.set(BeastView(options_.dialect.target_deadline),
                   std::to_string(RemainingMs(context.deadline)));
-  plan.deadline = context.deadline;
-  plan.collect = delivery.collect;
-  plan.response_link = ResponseLink(context);
+  if (!options_.dialect.target_instance.empty()) {
+    plan.header.set(BeastView(options_.dialect.target_instance), target.name);
+  }
   plan.response_prepaid = ResponseEstimate(context);
-  UpstreamAttempt attempt(pool_, *services_.budgets, metrics_, std::move(plan));
-  const Result<void> result =
-      attempt.Run(delivery.body, delivery.exchange, yield);
+  UpstreamAttempt attempt(pool_, *services_.budgets, metrics_,
+                          options_.dialect, std::move(plan));
+  const Result<void> result = attempt.Run(delivery.body, delivery.exchange,
+                                          delivery.cancellation, yield);
+  if (attempt.load()) {
+    lease.value().SetLoad(*attempt.load());
+  }
   lease.value().SetOutcome(OutcomeOf(result, attempt));
   delivery.answer = std::move(attempt.answer());
   return result;
@@ -274,6 +381,8 @@
   wanted.workspace = context.workspace_name();
   wanted.weight = context.weight();
   wanted.deadline = context.deadline;
+  wanted.affinity_key = context.route->affinity ? context.affinity_key : "";
+  wanted.waits = delivery.patient;
   wanted.exclude = delivery.tried_targets;
   wanted.avoid_failure_domain = delivery.last_failure_domain;
   wanted.pay = [&reservation]() { return reservation.TryPay(); };
@@ -337,7 +446,7 @@
                                          const Yield& yield) {
   const RequestContext& context = delivery.context;
   const std::string& own = services_.identity->region;
-  AttemptPlan plan;
+  AttemptPlan plan = PlanFor(delivery);
   if (member.region != own) {
     plan.request_link = LinkBudgetName(own, member.region);
     const double estimate = std::min(
@@ -360,20 +469,25 @@
   token.remaining_ms = static_cast<uint32_t>(
       std::max<int64_t>(1, RemainingMs(context.deadline)));
   token.owner_hop = owner_hop;
+  if (context.host_route != nullptr) {
+    token.host_route = context.host_route->route.name;
+    token.service = context.service->name;
+    token.target = context.target;
+  }
   const std::string target = fmt::format("{}{}{}", RequestHandler::kPathPrefix,
                                          context.service->name, context.target);
   token.request_line = fmt::format("{} {}", delivery.exchange.method(), target);
   plan.endpoint = TcpEndpoint(member.http_address);
-  plan.header = admitter_.TargetHeader(context, delivery.exchange);
   plan.header.target(target);
   plan.header.set(BeastView(kHopField), signer_.Sign(token));
-  plan.deadline = context.deadline;
   plan.to_entry = true;
-  plan.response_link = ResponseLink(context);
-  plan.collect = delivery.collect;
-  UpstreamAttempt attempt(pool_, *services_.budgets, metrics_, std::move(plan));
-  const Result<void> result =
-      attempt.Run(delivery.body, delivery.exchange, yield);
+  UpstreamAttempt attempt(pool_, *services_.budgets, metrics_,
+                          options_.dialect, std::move(plan));
+  const Result<void> result = attempt.Run(delivery.body, delivery.exchange,
+                                          delivery.cancellation, yield);
+  if (result || !Contains(kRefusedBeforeSending, result.error().errc)) {
+    ++delivery.sent;
+  }
   delivery.answer = std::move(attempt.answer());
   return result;
 }
@@ -510,6 +624,22 @@
                     "the process that the key is bound to cannot be reached");
 }
 
+void RequestCarrier::LogOutcome(const Delivery& delivery,
+                                const Failure* failure) {
+  const RequestContext& context = delivery.context;
+  spdlog::info(
+      "request {} route {} service {} workspace {} {}: {}, sent {}, {} ms, {} "
+      "ms left{}{}",
+      context.request_id, context.route->name, context.service->name,
+      context.workspace_name(),
+      context.forwarded() ? "from " + context.from_region : "own",
+      failure == nullptr ? "answered" : ErrcName(failure->errc), delivery.sent,
+      std::chrono::duration_cast<Milliseconds>(Clock::now() - context.begun)
+          .count(),
+      RemainingMs(context.deadline), failure == nullptr ? "" : ": ",
+      failure == nullptr ? "" : failure->detail);
+}
+
 void RequestCarrier::CountOutcome(const RequestContext& context,
                                   const Failure* failure) {
   if (failure == nullptr) {
--- a/src/delivery/internal/request_carrier.h
+++ b/src/delivery/internal/request_carrier.h
@@ -10,13 +10,16 @@
 #include <vector>
 
 #include "budget/charge.h"
+#include "delivery/delivery_options.h"
 #include "delivery/internal/hop_token.h"
 #include "delivery/internal/idempotency_claims.h"
 #include "delivery/internal/idempotency_table.h"
 #include "delivery/internal/request_admitter.h"
 #include "delivery/internal/retry_budget.h"
+#include "delivery/internal/upstream_attempt.h"
 #include "delivery/request_handler.h"
 #include "framework/http/connection_pool.h"
+#include "framework/kernel/cancellation.h"
 #include "framework/kernel/periodic_task.h"
 #include "routing/target_lease.h"
 
@@ -51,12 +54,14 @@
                  SocketRegistry& sockets,
                  Metrics& metrics,
                  CarrierServices services,
-                 std::vector<std::string> secrets);
+                 std::vector<std::string> secrets,
+                 DeliveryOptions options);
 
   void Start();
   void Stop();
 
   void Carry(HttpExchange& exchange, const Yield& yield) override;
+  void CarryByHost(HttpExchange& exchange, const Yield& yield) override;
   uint32_t key_epoch() const override;
 
  private:
@@ -72,22 +77,39 @@
     const RequestContext& context;
     RequestBody& body;
     HttpExchange& exchange;
+    Cancellation cancellation;
     // Collect the answer instead of handing it on.
     bool collect = false;
+    // Wait for a slot where none is free.
+    bool patient = false;
+    // Targets and entries that it was sent to.
+    int sent = 0;
     std::optional<StoredAnswer> answer;
     std::set<std::string> tried_targets;
     std::set<std::string> tried_regions;
     std::string last_failure_domain;
   };
 
+  void CarryAddressed(HttpExchange& exchange,
+                      Addressing addressing,
+                      const Yield& yield);
   Result<void> CarryAdmitted(const RequestContext& context,
                              HttpExchange& exchange,
                              const Yield& yield);
   // Tries places until one answers or no further try is allowed.
   Result<void> Deliver(Delivery& delivery, const Yield& yield);
   bool MayTryAgain(const Delivery& delivery, const Failure& failure);
+  // Returns whether to ask again for an answer that is a server error.
+  bool MayReplace(const Delivery& delivery);
+  // Returns whether the request can be sent once more at all.
+  static bool CanRepeat(const Delivery& delivery);
+  // Sends it to one region. Fails as TryLocal() and TryRegion() do.
+  Result<void> TryOnce(Delivery& delivery,
+                       const std::string& region,
+                       const Yield& yield);
   // Names the region for the next try; nothing when none is left.
-  std::optional<std::string> ChooseRegion(const Delivery& delivery) const;
+  std::optional<std::string> ChooseRegion(Delivery& delivery) const;
+  std::vector<std::string> OtherRegions(const Delivery& delivery) const;
 
   Result<TargetLease> AcquireSlot(const Delivery& delivery, const Yield& yield);
   static std::vector<Charge> WorkspaceCharges(const RequestContext& context);
@@ -117,12 +139,16 @@
                            const std::string& process_id,
                            const Yield& yield);
 
+  AttemptPlan PlanFor(const Delivery& delivery) const;
+
   void CountOutcome(const RequestContext& context, const Failure* failure);
+  void LogOutcome(const Delivery& delivery, const Failure* failure);
 
   boost::asio::io_context& io_;
   Metrics& metrics_;
   CarrierServices services_;
   HopSigner signer_;
+  DeliveryOptions options_;
   RequestAdmitter admitter_;
   ConnectionPool pool_;
   IdempotencyTable table_;
--- a/src/delivery/internal/request_context.h
+++ b/src/delivery/internal/request_context.h
@@ -1,8 +1,10 @@
 #ifndef REDWING_DELIVERY_INTERNAL_REQUEST_CONTEXT_H_
 #define REDWING_DELIVERY_INTERNAL_REQUEST_CONTEXT_H_
 
+#include <algorithm>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "framework/kernel/clock.h"
 #include "steering/steering_document.h"
@@ -15,14 +17,21 @@
   std::shared_ptr<const SteeringDocument> document;
   const Service* service = nullptr;
   const Route* route = nullptr;
+  // Null unless host and path have selected the route.
+  const HostRoute* host_route = nullptr;
   // Null on a route open to all.
   const Workspace* workspace = nullptr;
   std::string request_id;
   std::string key_id;
   std::string idempotency_key;
+  // Requests with the same key concern the same object; empty when not known.
+  std::string affinity_key;
   // Path and query as the target is to see them.
   std::string target;
+  TimePoint begun;
   TimePoint deadline;
+  // Targets to which the request may still be sent.
+  int max_attempts = Route::kDefaultMaxAttempts;
   // Region of the entry that forwarded the request; empty if a caller sent it.
   std::string from_region;
   // The forwarding entry wants this process to own the idempotency key.
@@ -40,8 +49,20 @@
   bool allow_stale() const {
     return workspace == nullptr || workspace->serve_stale;
   }
+  // Returns whether the request may run in a region.
+  bool MayRunIn(const std::string& region) const {
+    return IsHome(route->home_regions, region) &&
+           (workspace == nullptr || IsHome(workspace->home_regions, region));
+  }
   // Returns whether a run must not be repeated.
   bool runs_once() const { return !route->idempotent; }
+
+ private:
+  static bool IsHome(const std::vector<std::string>& homes,
+                     const std::string& region) {
+    return homes.empty() ||
+           std::find(homes.begin(), homes.end(), region) != homes.end();
+  }
 };
 
 }  // namespace redwing
--- a/src/delivery/internal/retry_budget.h
+++ b/src/delivery/internal/retry_budget.h
@@ -3,17 +3,20 @@
 
 #include <algorithm>
 
+#include "delivery/retry_options.h"
+
 namespace redwing {
 
 // Limits retries to a part of the requests, so that a failing target cannot
 // start a storm.
 class RetryBudget {
  public:
-  static constexpr double kRetriesPerRequest = 0.2;
-  static constexpr double kMaxSaved = 50;  // retries
+  explicit RetryBudget(RetryOptions options)
+      : options_(options), saved_(options.max_saved) {}
 
   void CountRequest() {
-    saved_ = std::min(kMaxSaved, saved_ + kRetriesPerRequest);
+    saved_ =
+        std::min(options_.max_saved, saved_ + options_.retries_per_request);
   }
   bool TrySpend() {
     if (saved_ < 1) {
@@ -24,7 +27,8 @@
   }
 
  private:
-  double saved_ = kMaxSaved;
+  RetryOptions options_;
+  double saved_;
 };
 
 }  // namespace redwing
--- a/src/delivery/internal/upstream_attempt.cc
+++ b/src/delivery/internal/upstream_attempt.cc
@@ -1,6 +1,9 @@
 #include "delivery/internal/upstream_attempt.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "budget/budgets.h"
@@ -8,6 +11,7 @@
 #include "delivery/internal/request_body.h"
 #include "framework/http/http_exchange.h"
 #include "framework/http/refusal.h"
+#include "framework/kernel/cancellation.h"
 #include "framework/metrics/metrics.h"
 #include "framework/wire/digest.h"
 
@@ -21,10 +25,19 @@
 constexpr size_t kAttemptIdBytes = 8;
 constexpr Milliseconds kBodyPause{10'000};
 constexpr Milliseconds kMaxBodyTime{600'000};
+constexpr unsigned kMisdirectedStatus = 421;
+// Statuses by which an entry promises that a request was not run.
+constexpr std::array<unsigned, 4> kPromises = {408, 421, 429, 503};
+
+bool Promises(unsigned status) {
+  return std::find(kPromises.begin(), kPromises.end(), status) !=
+         kPromises.end();
+}
 }  // namespace
 
 Result<void> UpstreamAttempt::Run(RequestBody& body,
                                   HttpExchange& exchange,
+                                  Cancellation& cancellation,
                                   const Yield& yield) {
   const Result<ConnectionPool::ConnectionPtr> acquired =
       pool_.Acquire(plan_.endpoint, plan_.deadline, yield);
@@ -32,28 +45,31 @@
     return acquired.error();
   }
   connection_ = acquired.value();
-  bool caller_gone = false;
-  const std::weak_ptr<HttpConnection> weak = connection_;
-  if (!plan_.collect && body.whole()) {
-    exchange.WatchCaller([&caller_gone, weak]() {
-      caller_gone = true;
-      const std::shared_ptr<HttpConnection> connection = weak.lock();
-      if (connection) {
-        connection->Abort();
-      }
-    });
+  if (cancellation.cancelled()) {
+    pool_.Release(plan_.endpoint, connection_);
+    return NotRun(Errc::kCallerGone, "caller is gone");
   }
+  const std::weak_ptr<HttpConnection> weak = connection_;
+  cancellation.SetHandler([weak]() {
+    const std::shared_ptr<HttpConnection> connection = weak.lock();
+    if (connection) {
+      connection->Abort();
+    }
+  });
   Result<void> outcome = Send(body, yield);
   if (outcome) {
     outcome = ReadHeader(yield);
   }
-  exchange.EndWatch();
+  if (outcome) {
+    server_error_ = connection_->response().result_int() >= 500;
+    outcome = plan_.collect ? Collect(exchange, yield) : Relay(exchange, yield);
+  }
+  cancellation.ClearHandler();
   if (!outcome) {
-    return caller_gone ? MayHaveRun(Errc::kCallerGone, "caller is gone")
-                       : outcome.error();
+    return cancellation.cancelled()
+               ? MayHaveRun(Errc::kCallerGone, "caller is gone")
+               : outcome.error();
   }
-  server_error_ = connection_->response().result_int() >= 500;
-  outcome = plan_.collect ? Collect(exchange, yield) : Relay(exchange, yield);
   pool_.Release(plan_.endpoint, connection_);
   return outcome;
 }
@@ -115,11 +131,7 @@
     return read.error();
   }
   const ResponseHeader& header = connection_->response();
-  const boost::beast::string_view echo = header[BeastView(kAttemptField)];
-  // Targets need not echo; entries do.
-  const bool own =
-      echo.empty() ? !plan_.to_entry : StdView(echo) == attempt_id_;
-  if (!own) {
+  if (!IsOwnAnswer()) {
     connection_->Abort();
     metrics_
         .Get("redwing_answers_crossed_total",
@@ -128,31 +140,84 @@
     return MayHaveRun(Errc::kTargetBroken,
                       "the answer belongs to another request");
   }
-  if (plan_.to_entry && header.count(std::string(kVerdictField)) > 0) {
-    return ReadRefusal(yield);
+  if (plan_.to_entry) {
+    return header.count(std::string(kVerdictField)) > 0
+               ? Result<void>(ReadRefusal(yield))
+               : boost::outcome_v2::success();
   }
-  if (!plan_.to_entry && header.result_int() == 503 &&
-      header.count(std::string(kNotRunField)) > 0) {
-    std::string ignored(kPiece, '\0');
-    while (connection_->ReadBody(ignored.data(), ignored.size(), yield)) {
-      if (connection_->body_done()) {
-        break;
-      }
-    }
-    pool_.Release(plan_.endpoint, connection_);
+  if (!dialect_.load.empty()) {
+    load_ = TargetLoad::Parse(StdView(header[BeastView(dialect_.load)]));
+  }
+  const bool moved = !dialect_.target_instance.empty() &&
+                     header.result_int() == kMisdirectedStatus;
+  if (moved) {
+    SkipBody(yield);
+    return NotRun(Errc::kTargetMoved, "another target has the address");
+  }
+  if (header.count(dialect_.not_run) > 0) {
+    SkipBody(yield);
     return NotRun(Errc::kTargetShed, "the target sheds load",
                   Milliseconds(1000));
   }
-  if (connection_->undelimited() && !connection_->body_done()) {
+  return CheckAnswer();
+}
+
+bool UpstreamAttempt::IsOwnAnswer() const {
+  const ResponseHeader& header = connection_->response();
+  const boost::beast::string_view attempt = header[BeastView(kAttemptField)];
+  if (plan_.to_entry || !attempt.empty()) {
+    return StdView(attempt) == attempt_id_;
+  }
+  // Other targets need not echo anything.
+  return !dialect_.targets_echo_request_id ||
+         StdView(header[BeastView(dialect_.request_id)]) == plan_.request_id;
+}
+
+Result<void> UpstreamAttempt::CheckAnswer() {
+  const ResponseHeader& header = connection_->response();
+  const unsigned status = header.result_int();
+  if (connection_->undelimited() && !connection_->body_done() &&
+      !dialect_.accepts_unframed_answers) {
     connection_->Abort();
     return Failure{Errc::kTargetBroken,
                    Verdict::kRan,
                    "the answer has neither length nor chunks",
                    {}};
   }
+  const bool success = status >= 200 && status < 300;
+  const bool proven = dialect_.signature.empty() ||
+                      (header.count(dialect_.signature) > 0 &&
+                       header.count(http::field::content_encoding) == 0);
+  if (success && !proven) {
+    connection_->Abort();
+    return Failure{Errc::kTargetBroken,
+                   Verdict::kMayHaveRun,
+                   "the answer is not the target's own",
+                   {}};
+  }
+  if (plan_.runs_once && Promises(status)) {
+    // Handed on, it would tell the caller that nothing was run.
+    connection_->Abort();
+    return Failure{Errc::kTargetBroken,
+                   Verdict::kMayHaveRun,
+                   fmt::format("the target answered {} without saying that "
+                               "nothing was run",
+                               status),
+                   {}};
+  }
   return boost::outcome_v2::success();
 }
 
+void UpstreamAttempt::SkipBody(const Yield& yield) {
+  std::string ignored(kPiece, '\0');
+  while (connection_->ReadBody(ignored.data(), ignored.size(), yield)) {
+    if (connection_->body_done()) {
+      break;
+    }
+  }
+  pool_.Release(plan_.endpoint, connection_);
+}
+
 Failure UpstreamAttempt::ReadRefusal(const Yield& yield) {
   std::string body;
   std::string piece(kPiece, '\0');
@@ -200,7 +265,8 @@
   answer.header = CallerHeader();
   std::string piece(kPiece, '\0');
   while (answer.body.size() <= IdempotencyTable::kMaxAnswer) {
-    connection_->ExpiresAt(Clock::now() + kBodyPause);
+    connection_->ExpiresAt(
+        std::min<TimePoint>(plan_.deadline, Clock::now() + kBodyPause));
     const Result<size_t> size =
         connection_->ReadBody(piece.data(), piece.size(), yield);
     if (!size) {
@@ -286,7 +352,7 @@
   ResponseHeader header = connection_->response();
   RemoveHopByHopFields(&header);
   RemoveInternalFields(&header);
-  header.erase(std::string(kNotRunField));
+  header.erase(dialect_.not_run);
   return header;
 }
 
--- a/src/delivery/internal/upstream_attempt.h
+++ b/src/delivery/internal/upstream_attempt.h
@@ -6,7 +6,9 @@
 #include <string>
 #include <string_view>
 
+#include "delivery/header_dialect.h"
 #include "delivery/internal/idempotency_table.h"
+#include "routing/target_load.h"
 #include "framework/errors/result.h"
 #include "framework/http/connection_pool.h"
 #include "framework/http/http_types.h"
@@ -14,6 +16,7 @@
 namespace redwing {
 
 class Budgets;
+class Cancellation;
 class HttpExchange;
 class Metrics;
 class RequestBody;
@@ -32,9 +35,11 @@
   std::string response_link;
   // Bytes of the answer that were charged to response_link already.
   double response_prepaid = 0;
-  // Collects the whole answer before anything is handed on; the upstream goes
-  // on when the caller leaves.
+  // Collects the whole answer before anything is handed on.
   bool collect = false;
+  std::string request_id;
+  // The request must not run twice.
+  bool runs_once = false;
 };
 
 // Sends a request to an upstream and hands its answer on to the caller.
@@ -43,17 +48,20 @@
   UpstreamAttempt(ConnectionPool& pool,
                   Budgets& budgets,
                   Metrics& metrics,
+                  const HeaderDialect& dialect,
                   AttemptPlan plan)
       : pool_(pool),
         budgets_(budgets),
         metrics_(metrics),
+        dialect_(dialect),
         plan_(std::move(plan)) {}
 
-  // Runs the attempt. Success means that the answer went to the caller, whole
+  // Runs the attempt, which ends early when it is cancelled. Success means that the answer went to the caller, whole
   // or visibly broken off; or, with plan.collect, that answer() holds it. A
   // failure means that nothing of an answer was sent.
   Result<void> Run(RequestBody& body,
                    HttpExchange& exchange,
+                   Cancellation& cancellation,
                    const Yield& yield);
 
   std::optional<StoredAnswer>& answer() { return answer_; }
@@ -61,6 +69,8 @@
   bool cut() const { return cut_; }
   // Returns whether the answer is a server error.
   bool server_error() const { return server_error_; }
+  // What the target said of its load; nothing when it said nothing.
+  const std::optional<TargetLoad>& load() const { return load_; }
 
  private:
   Result<void> Send(RequestBody& body, const Yield& yield);
@@ -68,6 +78,12 @@
   // Reads the answer's header and turns refusals into failures.
   Result<void> ReadHeader(const Yield& yield);
   Failure ReadRefusal(const Yield& yield);
+  // Reads what is left of an answer that says that nothing was run.
+  void SkipBody(const Yield& yield);
+  // Returns whether the answer is to this request.
+  bool IsOwnAnswer() const;
+  // Checks that the answer's header is one that a target may give.
+  Result<void> CheckAnswer();
   Result<void> Relay(HttpExchange& exchange, const Yield& yield);
   Result<void> Collect(HttpExchange& exchange, const Yield& yield);
   // Sends `held` and the rest of the answer's body on.
@@ -86,12 +102,14 @@
   ConnectionPool& pool_;
   Budgets& budgets_;
   Metrics& metrics_;
+  const HeaderDialect& dialect_;
   AttemptPlan plan_;
   ConnectionPool::ConnectionPtr connection_;
   std::optional<StoredAnswer> answer_;
   std::string attempt_id_;
   bool cut_ = false;
   bool server_error_ = false;
+  std::optional<TargetLoad> load_;
 };
 
 }  // namespace redwing
--- a/src/delivery/request_handler.h
+++ b/src/delivery/request_handler.h
@@ -23,6 +23,9 @@
   // Carries one request whose path begins with kPathPrefix.
   virtual void Carry(HttpExchange& exchange, const Yield& yield) = 0;
 
+  // Carries one request whose route is selected by host and path.
+  virtual void CarryByHost(HttpExchange& exchange, const Yield& yield) = 0;
+
   // Epoch of the idempotency keys accepted now.
   virtual uint32_t key_epoch() const = 0;
 };
--- a/src/entry/entry_module.h
+++ b/src/entry/entry_module.h
@@ -33,7 +33,7 @@
   std::shared_ptr<PeerTransport> transport_;
   std::unique_ptr<EntryHandler> handler_;
   std::unique_ptr<HttpServer> server_;
-  std::unique_ptr<GracefulStop> graceful_stop_;
+  std::shared_ptr<GracefulStop> graceful_stop_;
 };
 
 }  // namespace redwing
--- a/src/entry/internal/entry_module.cc
+++ b/src/entry/internal/entry_module.cc
@@ -62,9 +62,11 @@
   server_ =
       std::make_unique<HttpServer>(kernel.io(), *kernel.Find<SocketRegistry>(),
                                    *kernel.Find<Metrics>(), *handler_, limits);
-  graceful_stop_ = std::make_unique<GracefulStop>(
-      kernel.io(), *server_, settings_.lookup_ttl + kNoticeMargin,
-      settings_.drain_limit, [&kernel]() { kernel.Stop(); });
+  graceful_stop_ = std::make_shared<GracefulStop>(
+      kernel.io(), settings_.lookup_ttl + kNoticeMargin, settings_.drain_limit,
+      [&kernel]() { kernel.Stop(); });
+  graceful_stop_->AddServer(*server_);
+  kernel.Register<GracefulStop>(graceful_stop_);
 }
 
 void EntryModule::ResolveDependencies(Kernel& /*kernel*/) {}
--- a/src/framework/errors/errc.h
+++ b/src/framework/errors/errc.h
@@ -25,6 +25,8 @@
   kLinkFull,
   kNoTarget,
   kTargetShed,
+  // The address belongs to another target by now.
+  kTargetMoved,
   kTargetUnreachable,
   kTargetBroken,
   kTargetTimeout,
--- a/src/framework/http/http_exchange.h
+++ b/src/framework/http/http_exchange.h
@@ -18,6 +18,7 @@
 namespace redwing {
 
 class TimedSocket;
+struct HttpServerLimits;
 
 // One request and its response on a server connection. Bodies are streamed;
 // at most one buffer of each direction is held.
@@ -28,7 +29,7 @@
   HttpExchange(TimedSocket& socket,
                boost::beast::flat_buffer& buffer,
                Parser& parser,
-               Milliseconds io_timeout);
+               const HttpServerLimits& limits);
   ~HttpExchange();
   HttpExchange(const HttpExchange&) = delete;
   HttpExchange& operator=(const HttpExchange&) = delete;
@@ -77,6 +78,7 @@
   // Ends the watch; called by the exchange itself before it writes.
   void EndWatch();
 
+  bool fractional_retry_after() const { return fractional_retry_after_; }
   bool response_begun() const { return response_begun_; }
   bool response_complete() const { return response_complete_; }
   bool broken() const { return broken_; }
@@ -94,6 +96,7 @@
   boost::beast::flat_buffer& buffer_;
   Parser& parser_;
   Milliseconds io_timeout_;
+  bool fractional_retry_after_;
   std::optional<Response> response_;
   std::optional<Serializer> serializer_;
   std::shared_ptr<Watch> watch_;
--- a/src/framework/http/http_server.h
+++ b/src/framework/http/http_server.h
@@ -24,6 +24,8 @@
   Milliseconds header_timeout{10'000};
   // Longest pause within a body, in either direction.
   Milliseconds io_timeout{10'000};
+  // Retry-After may name fractions of a second.
+  bool fractional_retry_after = false;
 };
 
 // Accepts HTTP/1.1 connections and hands their requests to a handler, one
@@ -44,6 +46,13 @@
   void Listen(const boost::asio::ip::tcp::endpoint& endpoint);
   boost::asio::ip::tcp::endpoint local_endpoint() const;
 
+  // From now on each answer closes its connection.
+  void GiveNotice() { closing_ = true; }
+  // Replaces the bounds; connections that are open follow with their next
+  // request.
+  void SetLimits(const HttpServerLimits& limits) { limits_ = limits; }
+  const HttpServerLimits& limits() const { return limits_; }
+
   // Ends accepting; idle connections close, busy ones after their response.
   void BeginDrain();
   bool draining() const { return draining_; }
@@ -65,6 +74,7 @@
   HttpServerLimits limits_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::unordered_set<HttpSession*> sessions_;
+  bool closing_ = false;
   bool draining_ = false;
 };
 
--- a/src/framework/http/internal/graceful_stop.cc
+++ b/src/framework/http/internal/graceful_stop.cc
@@ -1,5 +1,7 @@
 #include "framework/http/graceful_stop.h"
 
+#include <numeric>
+
 #include "framework/http/http_server.h"
 #include "framework/log/log.h"
 
@@ -10,12 +12,10 @@
 }  // namespace
 
 GracefulStop::GracefulStop(boost::asio::io_context& io,
-                           HttpServer& server,
                            Milliseconds notice,
                            Milliseconds limit,
                            std::function<void()> on_done)
-    : server_(server),
-      notice_(notice),
+    : notice_(notice),
       limit_(limit),
       on_done_(std::move(on_done)),
       tick_(io, kTickInterval, [this]() { Tick(); }) {}
@@ -26,8 +26,10 @@
   }
   begun_ = true;
   begun_at_ = Clock::now();
-  spdlog::info("graceful shutdown begins, {} requests run",
-               server_.busy_count());
+  spdlog::info("graceful shutdown begins, {} requests run", BusyCount());
+  for (HttpServer* const server : servers_) {
+    server->GiveNotice();
+  }
   tick_.Start();
 }
 
@@ -35,19 +37,36 @@
   tick_.Stop();
 }
 
+size_t GracefulStop::BusyCount() const {
+  return std::accumulate(servers_.begin(), servers_.end(), size_t{0},
+                         [](size_t sum, const HttpServer* server) {
+                           return sum + server->busy_count();
+                         });
+}
+
+size_t GracefulStop::ConnectionCount() const {
+  return std::accumulate(servers_.begin(), servers_.end(), size_t{0},
+                         [](size_t sum, const HttpServer* server) {
+                           return sum + server->connection_count();
+                         });
+}
+
 void GracefulStop::Tick() {
   const Clock::duration elapsed = Clock::now() - begun_at_;
   if (elapsed < notice_) {
     return;
   }
-  if (!server_.draining()) {
-    server_.BeginDrain();
+  if (!draining_) {
+    draining_ = true;
+    for (HttpServer* const server : servers_) {
+      server->BeginDrain();
+    }
   }
   const bool over = elapsed - notice_ > limit_;
-  if (server_.connection_count() > 0 && !over) {
+  if (ConnectionCount() > 0 && !over) {
     return;
   }
-  spdlog::info("graceful shutdown ends, {} requests cut", server_.busy_count());
+  spdlog::info("graceful shutdown ends, {} requests cut", BusyCount());
   tick_.Stop();
   on_done_();
 }
--- a/src/framework/http/internal/http_exchange.cc
+++ b/src/framework/http/internal/http_exchange.cc
@@ -5,6 +5,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "framework/http/http_server.h"
 #include "framework/http/timed_socket.h"
 
 namespace redwing {
@@ -24,11 +25,12 @@
 HttpExchange::HttpExchange(TimedSocket& socket,
                            boost::beast::flat_buffer& buffer,
                            Parser& parser,
-                           Milliseconds io_timeout)
+                           const HttpServerLimits& limits)
     : socket_(socket),
       buffer_(buffer),
       parser_(parser),
-      io_timeout_(io_timeout),
+      io_timeout_(limits.io_timeout),
+      fractional_retry_after_(limits.fractional_retry_after),
       keep_alive_(parser.get().keep_alive()) {}
 
 HttpExchange::~HttpExchange() {
--- a/src/framework/http/internal/http_server.cc
+++ b/src/framework/http/internal/http_server.cc
@@ -6,6 +6,7 @@
 
 #include "framework/http/internal/http_session.h"
 #include "framework/kernel/spawn.h"
+#include "framework/kernel/timer.h"
 #include "framework/metrics/metrics.h"
 
 namespace redwing {
@@ -66,8 +67,8 @@
         }
         if (ec) {
           // Out of descriptors, most likely: give running work time to end.
-          const std::shared_ptr<boost::asio::steady_timer> timer =
-              std::make_shared<boost::asio::steady_timer>(io_);
+          const std::shared_ptr<Timer> timer =
+              std::make_shared<Timer>(io_);
           timer->expires_after(kAcceptRetry);
           timer->async_wait(
               [this, timer](const boost::system::error_code& timer_ec) {
--- a/src/framework/http/internal/http_session.cc
+++ b/src/framework/http/internal/http_session.cc
@@ -124,8 +124,8 @@
     Refuse(NotRun(Errc::kMalformedRequest, *framing_problem), yield);
     return false;
   }
-  HttpExchange exchange(socket_, buffer_, parser, server_.limits_.io_timeout);
-  if (server_.draining()) {
+  HttpExchange exchange(socket_, buffer_, parser, server_.limits_);
+  if (server_.draining() || server_.closing_) {
     exchange.CloseAfterwards();
   }
   server_.handler_.Handle(exchange, yield);
--- a/src/framework/http/internal/refusal.cc
+++ b/src/framework/http/internal/refusal.cc
@@ -11,13 +11,28 @@
 
 namespace {
 
+constexpr int64_t kMillisPerSecond = 1000;
+
 int64_t RetryAfterSeconds(const Failure& failure) {
-  constexpr int64_t kMillisPerSecond = 1000;
   return std::max<int64_t>(
       1,
       (failure.retry_after.count() + kMillisPerSecond - 1) / kMillisPerSecond);
 }
 
+// Statuses that callers take for a promise that nothing was run.
+bool PromisesNotRun(unsigned status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+// Returns the status of a failure: never a promise that is not true.
+unsigned StatusOf(const Failure& failure) {
+  constexpr unsigned kBadGateway = 502;
+  const unsigned status = ErrcHttpStatus(failure.errc);
+  return failure.verdict != Verdict::kNotRun && PromisesNotRun(status)
+             ? kBadGateway
+             : status;
+}
+
 // Throws nlohmann::json::exception when a field is of another type.
 void ReadRefusal(const nlohmann::json& json, Failure* failure) {
   failure->errc = ErrcFromName(json.value("error", ""));
@@ -45,7 +60,7 @@
 ResponseHeader RefusalHeader(const Failure& failure) {
   ResponseHeader header;
   header.version(11);
-  header.result(ErrcHttpStatus(failure.errc));
+  header.result(StatusOf(failure));
   header.set(http::field::content_type, "application/json");
   header.set("X-Redwing-Verdict", BeastView(VerdictName(failure.verdict)));
   if (failure.retry_after.count() > 0) {
@@ -57,7 +72,7 @@
 
 std::string RefusalText(const Failure& failure) {
   const std::string body = RefusalBody(failure);
-  const unsigned status = ErrcHttpStatus(failure.errc);
+  const unsigned status = StatusOf(failure);
   return fmt::format(
       "HTTP/1.1 {} {}\r\nContent-Type: application/json\r\n"
       "X-Redwing-Verdict: {}\r\nContent-Length: {}\r\n"
@@ -69,7 +84,12 @@
 void SendRefusal(HttpExchange& exchange,
                  const Failure& failure,
                  const Yield& yield) {
-  exchange.Respond(RefusalHeader(failure), RefusalBody(failure), yield);
+  ResponseHeader header = RefusalHeader(failure);
+  if (exchange.fractional_retry_after() && failure.retry_after.count() > 0) {
+    header.set(http::field::retry_after,
+               fmt::format("{:.3f}", ToSeconds(failure.retry_after)));
+  }
+  exchange.Respond(std::move(header), RefusalBody(failure), yield);
 }
 
 Failure ParseRefusal(unsigned status, const std::string& body) {
--- a/src/framework/kernel/clock.h
+++ b/src/framework/kernel/clock.h
@@ -2,12 +2,31 @@
 #define REDWING_FRAMEWORK_KERNEL_CLOCK_H_
 
 #include <chrono>
+#include <ctime>
 
 namespace redwing {
 
-// All deadlines and leases are measured on the monotonic clock of one process;
-// no clock reading is ever compared between two processes.
-using Clock = std::chrono::steady_clock;
+// The monotonic clock of one machine, on which all deadlines and leases are
+// measured. It goes on while the machine is suspended, which
+// std::chrono::steady_clock does not, so that a lease cannot outlive a
+// suspension. No reading is ever compared between two machines.
+class Clock {
+ public:
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<Clock>;
+
+  static constexpr bool is_steady = true;
+
+  static time_point now() noexcept {
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return time_point(std::chrono::seconds(time.tv_sec) +
+                      std::chrono::nanoseconds(time.tv_nsec));
+  }
+};
+
 using TimePoint = Clock::time_point;
 using Milliseconds = std::chrono::milliseconds;
 using Microseconds = std::chrono::microseconds;
--- a/src/framework/kernel/periodic_task.h
+++ b/src/framework/kernel/periodic_task.h
@@ -2,10 +2,10 @@
 #define REDWING_FRAMEWORK_KERNEL_PERIODIC_TASK_H_
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 
 #include "framework/kernel/clock.h"
+#include "framework/kernel/timer.h"
 
 namespace redwing {
 
@@ -22,7 +22,7 @@
  private:
   void Schedule();
 
-  boost::asio::steady_timer timer_;
+  Timer timer_;
   Milliseconds interval_;
   std::function<void()> function_;
 };
--- a/src/framework/kernel/process_signals.h
+++ b/src/framework/kernel/process_signals.h
@@ -8,7 +8,7 @@
 class Kernel;
 
 // Turns the first SIGTERM or SIGINT into a graceful shutdown and the second
-// into an immediate stop.
+// into an immediate stop. SIGHUP changes nothing.
 class ProcessSignals {
  public:
   explicit ProcessSignals(Kernel& kernel);
--- a/src/framework/kernel/sleep.h
+++ b/src/framework/kernel/sleep.h
@@ -3,9 +3,9 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "framework/kernel/clock.h"
+#include "framework/kernel/timer.h"
 
 namespace redwing {
 
@@ -13,7 +13,7 @@
 inline void SleepFor(boost::asio::io_context& io,
                      Clock::duration duration,
                      const boost::asio::yield_context& yield) {
-  boost::asio::steady_timer timer(io, duration);
+  Timer timer(io, duration);
   boost::system::error_code ignored;
   timer.async_wait(yield[ignored]);
 }
--- a/src/framework/settings/internal/object_reader.cc
+++ b/src/framework/settings/internal/object_reader.cc
@@ -181,6 +181,17 @@
   }
 }
 
+void ObjectReader::Object(std::string_view name,
+                          const std::function<void(ObjectReader&)>& read) {
+  const json* field = Field(name, false);
+  if (field == nullptr) {
+    return;
+  }
+  ObjectReader reader(*field, At(name), problems_);
+  read(reader);
+  reader.Finish();
+}
+
 void ObjectReader::NamedObjects(
     std::string_view name,
     const std::function<void(const std::string&, ObjectReader&)>& read) {
--- a/src/framework/settings/object_reader.h
+++ b/src/framework/settings/object_reader.h
@@ -59,6 +59,9 @@
   // Calls `read` with a reader for each object of an optional array.
   void Objects(std::string_view name,
                const std::function<void(ObjectReader&)>& read);
+  // Calls `read` with a reader for an optional object.
+  void Object(std::string_view name,
+              const std::function<void(ObjectReader&)>& read);
   // Calls `read` with each name and a reader for each object of an optional
   // object of objects.
   void NamedObjects(
--- a/src/keys/api_key.h
+++ b/src/keys/api_key.h
@@ -26,6 +26,10 @@
   bool Matches(const KeyRecord& record) const;
 };
 
+// Returns the id of a key that was issued elsewhere and has no id of its own:
+// a digest, by which it is found without being kept.
+std::string OpaqueKeyId(std::string_view text);
+
 }  // namespace redwing
 
 #endif  // REDWING_KEYS_API_KEY_H_
--- a/src/keys/internal/api_key.cc
+++ b/src/keys/internal/api_key.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::string_view kPrefix = "rwk_";
+// Keeps the ids of opaque keys apart from other digests.
+constexpr std::string_view kOpaqueKeyDomain = "opaque-key";
 constexpr size_t kIdBytes = 8;
 constexpr size_t kSecretBytes = 24;
 constexpr size_t kSaltBytes = 16;
@@ -57,4 +59,8 @@
          sodium_memcmp(hash.data(), record.hash.data(), hash.size()) == 0;
 }
 
+std::string OpaqueKeyId(std::string_view text) {
+  return ToHex(KeyedDigest(std::string(kOpaqueKeyDomain), std::string(text)));
+}
+
 }  // namespace redwing
--- a/src/keys/internal/key_ring.cc
+++ b/src/keys/internal/key_ring.cc
@@ -41,14 +41,15 @@
 
 Result<const KeyRecord*> KeyRing::Check(std::string_view key_text) const {
   const std::optional<ApiKey> key = ApiKey::Parse(key_text);
-  if (!key) {
+  const std::string id = key ? key->id : OpaqueKeyId(key_text);
+  const auto record = records_.find(id);
+  const bool matches =
+      record != records_.end() &&
+      (key ? key->Matches(record->second) : record->second.opaque());
+  if (!matches) {
     return NotRun(Errc::kUnknownKey, "the key is not known");
   }
-  const auto record = records_.find(key->id);
-  if (record == records_.end() || !key->Matches(record->second)) {
-    return NotRun(Errc::kUnknownKey, "the key is not known");
-  }
-  if (IsWithdrawn(key->id)) {
+  if (IsWithdrawn(id)) {
     return NotRun(Errc::kKeyWithdrawn, "the key was withdrawn");
   }
   return &record->second;
--- a/src/keys/key_record.h
+++ b/src/keys/key_record.h
@@ -7,6 +7,7 @@
 namespace redwing {
 
 // What is kept of an issued key: a salted hash of its secret, never the secret.
+// Of an opaque key, which was issued elsewhere, only the id is kept.
 struct KeyRecord {
   // Public part of the key; may be logged.
   std::string id;
@@ -18,6 +19,8 @@
   std::string operator_name;
   // Sections which the operator may edit; "*" stands for all.
   std::vector<std::string> sections;
+
+  bool opaque() const { return salt.empty() && hash.empty(); }
 };
 
 }  // namespace redwing
--- a/src/membership/heartbeat.h
+++ b/src/membership/heartbeat.h
@@ -23,9 +23,12 @@
   std::string region;
   std::string failure_domain;
   std::string http_address;
+  std::string caller_address;
   std::string peer_address;
   std::string process_id;
   bool leaving = false;
+  // Has a configuration, so that callers may use it.
+  bool ready = false;
   uint64_t beat = 0;
   // Number of the receiver's beat that the sender heard last, 0 for none.
   uint64_t echoed_beat = 0;
@@ -41,8 +44,8 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(region, failure_domain, http_address, peer_address, process_id,
-            leaving, beat, echoed_beat, incarnation_seen, state_digest,
+    archive(region, failure_domain, http_address, caller_address, peer_address,
+            process_id, leaving, ready, beat, echoed_beat, incarnation_seen, state_digest,
             withdrawn_hash, load_permille, key_epoch, work);
   }
 };
--- a/src/membership/identity.h
+++ b/src/membership/identity.h
@@ -13,7 +13,10 @@
   std::string name;
   std::string region;
   std::string failure_domain;
+  // Where other entries reach it.
   std::string http_address;
+  // Where callers reach it; empty: at http_address.
+  std::string caller_address;
   std::string peer_address;
   std::string process_id;
 };
--- a/src/membership/internal/heartbeat_membership.cc
+++ b/src/membership/internal/heartbeat_membership.cc
@@ -13,7 +13,6 @@
 namespace redwing {
 
 namespace {
-constexpr Milliseconds kTickInterval{50};
 constexpr size_t kSentBeatsKept = 1024;
 constexpr int kBeatStartShift = 16;
 }  // namespace
@@ -27,7 +26,7 @@
       identity_(std::move(identity)),
       options_(options),
       seeds_(std::move(seeds)),
-      tick_(io, kTickInterval, [this]() { Tick(); }) {
+      tick_(io, options.region_interval, [this]() { Tick(); }) {
   // A restart must not take an echo of the former process for its own.
   beat_ = Hash64(identity_->process_id) >> kBeatStartShift;
 }
@@ -64,14 +63,21 @@
     const std::vector<ListedInstance>& instances) {
   std::set<std::string> listed;
   list_known_ = true;
+  self_listed_ = false;
   for (const ListedInstance& instance : instances) {
-    if (instance.service != InstanceDirectory::kEntryService ||
-        instance.name == identity_->name) {
+    if (instance.service != InstanceDirectory::kEntryService) {
+      continue;
+    }
+    if (instance.name == identity_->name) {
+      self_listed_ = true;
       continue;
     }
     listed.insert(instance.name);
     const auto added = members_.emplace(instance.name, Member{});
     Member& member = added.first->second;
+    if (!member.listed) {
+      member.listed_since = Clock::now();
+    }
     member.listed = true;
     if (added.second) {
       member.name = instance.name;
@@ -206,6 +212,7 @@
   member.region = heartbeat.region;
   member.failure_domain = heartbeat.failure_domain;
   member.http_address = heartbeat.http_address;
+  member.caller_address = heartbeat.caller_address;
   member.peer_address = heartbeat.peer_address;
   if (member.process_id != heartbeat.process_id) {
     member.process_id = heartbeat.process_id;
@@ -256,6 +263,7 @@
   heartbeat.region = identity_->region;
   heartbeat.failure_domain = identity_->failure_domain;
   heartbeat.http_address = identity_->http_address;
+  heartbeat.caller_address = identity_->caller_address;
   heartbeat.peer_address = identity_->peer_address;
   heartbeat.process_id = identity_->process_id;
   heartbeat.leaving = leaving_;
--- a/src/membership/internal/heartbeat_membership.h
+++ b/src/membership/internal/heartbeat_membership.h
@@ -33,6 +33,9 @@
   const Member* Find(std::string_view name) const override;
   void ApplyList(const std::vector<ListedInstance>& instances) override;
   size_t listed_count() const override;
+  bool missing_from_list() const override {
+    return list_known_ && !self_listed_;
+  }
   void MarkSynced(const std::string& name, TimePoint time) override;
   void AnnounceLeaving() override;
   bool leaving() const override { return leaving_; }
@@ -68,6 +71,7 @@
   std::shared_ptr<PeerTransport> transport_;
   MemberMap members_;
   bool list_known_ = false;
+  bool self_listed_ = false;
   bool leaving_ = false;
   uint64_t beat_ = 0;
   std::deque<SentBeat> sent_beats_;
--- /dev/null
+++ b/src/membership/internal/instance_registration.cc
@@ -0,0 +1,120 @@
+#include "membership/internal/instance_registration.h"
+
+#include <vector>
+
+#include "framework/kernel/sleep.h"
+#include "framework/kernel/spawn.h"
+#include "framework/log/log.h"
+#include "framework/wire/digest.h"
+#include "membership/identity.h"
+#include "membership/instance_record.h"
+#include "membership/membership.h"
+#include "store/object_store.h"
+
+namespace redwing {
+
+namespace {
+constexpr Milliseconds kRetryInterval{300};
+// How often the list is compared with what is heard.
+constexpr Milliseconds kCheckInterval{1'000};
+}  // namespace
+
+InstanceRegistration::InstanceRegistration(boost::asio::io_context& io,
+                                           std::shared_ptr<Identity> identity,
+                                           RegistrationOptions options)
+    : io_(io), identity_(std::move(identity)), options_(options) {}
+
+void InstanceRegistration::Attach(std::shared_ptr<ObjectStore> store,
+                                  std::shared_ptr<Membership> membership) {
+  store_ = std::move(store);
+  membership_ = std::move(membership);
+}
+
+void InstanceRegistration::Start() {
+  Spawn(io_, [this](const Yield& yield) { Loop(yield); });
+}
+
+void InstanceRegistration::Leave() {
+  stopped_ = true;
+  Spawn(io_, [this](const Yield& yield) { Remove(identity_->name, yield); });
+}
+
+void InstanceRegistration::Loop(const Yield& yield) {
+  while (!stopped_) {
+    if (!registered_ || membership_->missing_from_list()) {
+      const Result<void> done = Register(yield);
+      if (!done) {
+        spdlog::warn("instance is not listed yet: {}", done.error().detail);
+        SleepFor(io_, kRetryInterval, yield);
+        continue;
+      }
+      registered_ = true;
+    }
+    RemoveSilent(yield);
+    SleepFor(io_, kCheckInterval, yield);
+  }
+}
+
+Result<void> InstanceRegistration::Register(const Yield& yield) {
+  StoredObject wanted = EncodeInstanceRecord(*identity_);
+  const Result<StoredObject> created = store_->Create(wanted, yield);
+  if (created) {
+    spdlog::info("instance is listed, version {}", created.value().version);
+    return boost::outcome_v2::success();
+  }
+  if (created.error().errc != Errc::kConflict) {
+    return created.error();
+  }
+  const Result<StoredObject> held =
+      store_->Get(wanted.kind, wanted.name, yield);
+  if (!held) {
+    return held.error();
+  }
+  if (held.value().spec == wanted.spec) {
+    return boost::outcome_v2::success();
+  }
+  // Listed by an earlier process under this name.
+  wanted.version = held.value().version;
+  const Result<StoredObject> updated = store_->Update(wanted, yield);
+  if (!updated) {
+    return updated.error();
+  }
+  return boost::outcome_v2::success();
+}
+
+void InstanceRegistration::RemoveSilent(const Yield& yield) {
+  const TimePoint now = Clock::now();
+  std::vector<std::string> silent;
+  for (const auto& [name, member] : membership_->members()) {
+    const bool heard = member.state == MemberState::kAlive ||
+                       member.state == MemberState::kLeaving;
+    const TimePoint since = std::max(member.last_heard, member.listed_since);
+    if (member.listed && !heard && now - since > options_.removal_timeout) {
+      silent.push_back(name);
+    }
+  }
+  for (const std::string& name : silent) {
+    spdlog::info("silent instance {} is taken from the list", name);
+    Remove(name, yield);
+  }
+}
+
+void InstanceRegistration::Remove(const std::string& name, const Yield& yield) {
+  const Result<StoredObject> held =
+      store_->Get(std::string(kInstanceKind), name, yield);
+  if (!held) {
+    if (held.error().errc != Errc::kNotFound) {
+      spdlog::warn("listing of {} cannot be read: {}", name,
+                   held.error().detail);
+    }
+    return;
+  }
+  const Result<void> removed = store_->Delete(held.value(), yield);
+  if (!removed && removed.error().errc != Errc::kNotFound) {
+    // A conflict means that it has listed itself again.
+    spdlog::info("listing of {} is not removed: {}", name,
+                 removed.error().detail);
+  }
+}
+
+}  // namespace redwing
--- a/src/membership/internal/membership_module.cc
+++ b/src/membership/internal/membership_module.cc
@@ -4,6 +4,8 @@
 #include "framework/metrics/metrics.h"
 #include "framework/peer/peer_transport.h"
 #include "membership/internal/heartbeat_membership.h"
+#include "membership/internal/instance_registration.h"
+#include "store/object_store.h"
 
 namespace redwing {
 
@@ -20,17 +22,31 @@
 
 void MembershipModule::ResolveDependencies(Kernel& kernel) {
   membership_->Attach(kernel.Find<PeerTransport>());
+  if (registration_options_) {
+    registration_ = std::make_shared<InstanceRegistration>(
+        kernel.io(), kernel.Find<Identity>(), *registration_options_);
+    registration_->Attach(kernel.Find<ObjectStore>(), membership_);
+  }
 }
 
 void MembershipModule::Start() {
   membership_->Start();
+  if (registration_) {
+    registration_->Start();
+  }
 }
 
 void MembershipModule::BeginDrain() {
   membership_->AnnounceLeaving();
+  if (registration_) {
+    registration_->Leave();
+  }
 }
 
 void MembershipModule::Stop() {
+  if (registration_) {
+    registration_->Stop();
+  }
   membership_->Stop();
 }
 
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -20,6 +20,8 @@
   std::string region;
   std::string failure_domain;
   std::string http_address;
+  // Where callers reach it; empty: at http_address.
+  std::string caller_address;
   std::string peer_address;
   // Identifies one process; a restart changes it.
   std::string process_id;
@@ -29,6 +31,8 @@
   // In the platform's list.
   bool listed = false;
   TimePoint last_heard;
+  // When it was first seen in the list.
+  TimePoint listed_since;
   // Send time of the latest own heartbeat that the member has answered while
   // its replicated state equalled ours. What it knew then, we know.
   TimePoint synced_at;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -10,13 +10,15 @@
 #include "framework/kernel/channel.h"
 #include "membership/heartbeat.h"
 #include "membership/member.h"
-#include "platform/instance_directory.h"
+#include "store/instance_directory.h"
 
 namespace redwing {
 
 // Timings of membership.
 struct MembershipOptions {
   Milliseconds heartbeat_interval{200};
+  // Instances of the own region, which share targets, hear more often.
+  Milliseconds region_interval{50};
   // A member not heard for this long is suspect and gets no new work.
   Milliseconds suspicion_timeout{1000};
   // A pause of the own process longer than this stops spending of budgets.
@@ -40,6 +42,8 @@
   virtual void ApplyList(const std::vector<ListedInstance>& instances) = 0;
   // Number of listed instances, this one included; 0 before a list is known.
   virtual size_t listed_count() const = 0;
+  // Returns whether a list is known and this instance is not in it.
+  virtual bool missing_from_list() const = 0;
   // Records that a member's state was merged as of `time`.
   virtual void MarkSynced(const std::string& name, TimePoint time) = 0;
 
--- a/src/membership/membership_module.h
+++ b/src/membership/membership_module.h
@@ -2,16 +2,19 @@
 #define REDWING_MEMBERSHIP_MEMBERSHIP_MODULE_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "framework/kernel/module.h"
 #include "membership/identity.h"
 #include "membership/membership.h"
+#include "membership/registration_options.h"
 
 namespace redwing {
 
 class HeartbeatMembership;
+class InstanceRegistration;
 
 // Who this instance is and which others there are.
 class MembershipModule : public Module {
@@ -22,6 +25,13 @@
       : identity_(std::move(identity)),
         options_(options),
         seeds_(std::move(seeds)) {}
+  // For platforms that do not list the instances of this system themselves.
+  MembershipModule(Identity identity,
+                   MembershipOptions options,
+                   RegistrationOptions registration)
+      : identity_(std::move(identity)),
+        options_(options),
+        registration_options_(registration) {}
   ~MembershipModule() override;
 
   std::string_view Name() const override { return "membership"; }
@@ -35,7 +45,9 @@
   Identity identity_;
   MembershipOptions options_;
   std::vector<std::string> seeds_;
+  std::optional<RegistrationOptions> registration_options_;
   std::shared_ptr<HeartbeatMembership> membership_;
+  std::shared_ptr<InstanceRegistration> registration_;
 };
 
 }  // namespace redwing
--- a/src/routing/entry_lookup.h
+++ b/src/routing/entry_lookup.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "framework/errors/result.h"
 
@@ -23,6 +24,10 @@
   virtual Result<std::string> LookUp(std::string_view service,
                                      std::string_view region) = 0;
 
+  // Returns where callers of a region reach the entries that they are to use:
+  // those of the region, or all where it has none.
+  virtual std::vector<std::string> CallerAddresses(std::string_view region) = 0;
+
   // Sets where to learn the epoch of the idempotency keys accepted now.
   virtual void SetEpochSource(std::function<uint32_t()> epoch) = 0;
 };
--- a/src/routing/internal/local_target_router.cc
+++ b/src/routing/internal/local_target_router.cc
@@ -7,6 +7,7 @@
 #include "framework/kernel/spawn.h"
 #include "framework/log/log.h"
 #include "framework/metrics/metrics.h"
+#include "framework/wire/digest.h"
 #include "membership/identity.h"
 #include "membership/membership.h"
 
@@ -19,6 +20,18 @@
 constexpr Milliseconds kHealthInterval{500};
 constexpr Milliseconds kHealthTimeout{400};
 constexpr double kFullLoad = 1000;
+// Instances of a region among which the requests to a cold target are shared.
+constexpr size_t kColdSenders = 4;
+
+// Returns whether two descriptions are of the same start of a target.
+bool IsSame(const Target& a, const Target& b) {
+  return a.name == b.name && a.address == b.address &&
+         a.started_at == b.started_at;
+}
+
+uint64_t ColdScore(const std::string& instance, const Target& target) {
+  return Hash64(instance + "/" + target.name);
+}
 }  // namespace
 
 LocalTargetRouter::LocalTargetRouter(boost::asio::io_context& io,
@@ -61,7 +74,9 @@
 }
 
 void LocalTargetRouter::Start() {
-  health_.Start();
+  if (options_.polls_health) {
+    health_.Start();
+  }
 }
 
 void LocalTargetRouter::Stop() {
@@ -87,6 +102,10 @@
   if (waiter->granted) {
     return MakeLease(waiter->granted);
   }
+  if (!request.waits && !waiter->unpaid) {
+    pool.queue.Remove(waiter);
+    return NotRun(Errc::kQueueFull, "no slot is free", Milliseconds(1000));
+  }
   return WaitForSlot(pool, waiter, yield);
 }
 
@@ -158,8 +177,7 @@
       const auto known =
           std::find_if(pool.targets.begin(), pool.targets.end(),
                        [&target](const StatePtr& state) {
-                         return state->target().name == target.name &&
-                                state->target().address == target.address;
+                         return IsSame(state->target(), target);
                        });
       StatePtr state;
       if (known == pool.targets.end()) {
@@ -167,8 +185,10 @@
         pool.targets.push_back(state);
       } else {
         state = *known;
-        state->SetTarget(target);
+        state->SetTarget(target, now);
       }
+      state->SetWarmUp(service.warm_up, service.warm_up_rate,
+                       ColdPart(target), now);
       state->SetClosed(IsClosed(target), now);
     }
     pool.targets.erase(
@@ -177,8 +197,7 @@
                          return std::none_of(
                              service.targets.begin(), service.targets.end(),
                              [&state](const Target& target) {
-                               return target.name == state->target().name &&
-                                      target.address == state->target().address;
+                               return IsSame(state->target(), target);
                              });
                        }),
         pool.targets.end());
@@ -201,6 +220,7 @@
   const Drains& drains = config_->drains();
   if (drains.targets.count(target.name) > 0 ||
       drains.failure_domains.count(target.failure_domain) > 0 ||
+      drains.target_failure_domains.count(target.failure_domain) > 0 ||
       drains.regions.count(target.region) > 0) {
     return true;
   }
@@ -211,6 +231,24 @@
                      });
 }
 
+double LocalTargetRouter::ColdPart(const Target& target) const {
+  // By the list, not by who is heard: instances that do not hear each other
+  // must not both take the whole rate.
+  const uint64_t own = ColdScore(identity_->name, target);
+  size_t before = 0;
+  size_t senders = 1;
+  for (const auto& [name, member] : membership_->members()) {
+    if (member.region != identity_->region ||
+        !(member.listed || member.usable())) {
+      continue;
+    }
+    ++senders;
+    before += ColdScore(name, target) > own ? 1 : 0;
+  }
+  const size_t parts = std::min(senders, kColdSenders);
+  return before < parts ? 1.0 / static_cast<double>(parts) : 0;
+}
+
 void LocalTargetRouter::ApplyPeerWork(const Member& member,
                                       const Heartbeat& heartbeat) {
   if (member.region != identity_->region) {
@@ -251,7 +289,7 @@
   if (candidates.empty()) {
     return nullptr;
   }
-  const TargetState* const chosen = choice_->Choose(candidates, now, random_);
+  const TargetState* const chosen = choice_->Choose(candidates, request, now, random_);
   return *std::find_if(
       pool.targets.begin(), pool.targets.end(),
       [chosen](const StatePtr& state) { return state.get() == chosen; });
--- a/src/routing/internal/local_target_router.h
+++ b/src/routing/internal/local_target_router.h
@@ -61,6 +61,8 @@
   void ApplyConfig();
   void CloseRemovedServices(const SteeringDocument& document, TimePoint now);
   bool IsClosed(const Target& target) const;
+  // This instance's part of what a cold target bears, 0 to 1.
+  double ColdPart(const Target& target) const;
   void ApplyPeerWork(const Member& member, const Heartbeat& heartbeat);
   StatePtr TryChoose(Pool& pool, const SlotRequest& request, TimePoint now);
   Result<TargetLease> WaitForSlot(Pool& pool,
--- a/src/routing/internal/target_choice.cc
+++ b/src/routing/internal/target_choice.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "framework/wire/digest.h"
+#include "routing/slot_request.h"
 #include "routing/target_state.h"
 
 namespace redwing {
@@ -20,6 +22,7 @@
 class RandomChoice : public TargetChoice {
  public:
   TargetState* Choose(const std::vector<TargetState*>& candidates,
+                      const SlotRequest& /*request*/,
                       TimePoint /*now*/,
                       std::mt19937_64& random) const override {
     return candidates[DrawIndex(candidates.size(), random)];
@@ -29,6 +32,7 @@
 class LeastOutstandingChoice : public TargetChoice {
  public:
   TargetState* Choose(const std::vector<TargetState*>& candidates,
+                      const SlotRequest& /*request*/,
                       TimePoint now,
                       std::mt19937_64& random) const override {
     // Ties are broken by lot, so that instances do not move in step.
@@ -47,6 +51,7 @@
 class PowerOfTwoChoice : public TargetChoice {
  public:
   TargetState* Choose(const std::vector<TargetState*>& candidates,
+                      const SlotRequest& /*request*/,
                       TimePoint now,
                       std::mt19937_64& random) const override {
     TargetState* const a = candidates[DrawIndex(candidates.size(), random)];
@@ -55,6 +60,33 @@
   }
 };
 
+// Rendezvous hashing over the targets that have room: the same key goes to the
+// same target while that has a free slot, then to the next in the key's own
+// order. Thaler and Ravishankar 1998.
+class AffinityChoice : public TargetChoice {
+ public:
+  TargetState* Choose(const std::vector<TargetState*>& candidates,
+                      const SlotRequest& request,
+                      TimePoint now,
+                      std::mt19937_64& random) const override {
+    if (request.affinity_key.empty()) {
+      return without_key_.Choose(candidates, request, now, random);
+    }
+    return *std::max_element(
+        candidates.begin(), candidates.end(),
+        [&request](const TargetState* a, const TargetState* b) {
+          return Score(request, *a) < Score(request, *b);
+        });
+  }
+
+ private:
+  static uint64_t Score(const SlotRequest& request, const TargetState& state) {
+    return Hash64(request.affinity_key + "/" + state.target().name);
+  }
+
+  LeastOutstandingChoice without_key_;
+};
+
 }  // namespace
 
 std::unique_ptr<TargetChoice> MakeTargetChoice(std::string_view name) {
@@ -67,6 +99,9 @@
   if (name == "power_of_two") {
     return std::make_unique<PowerOfTwoChoice>();
   }
+  if (name == "affinity") {
+    return std::make_unique<AffinityChoice>();
+  }
   return nullptr;
 }
 
--- a/src/routing/internal/target_lease.cc
+++ b/src/routing/internal/target_lease.cc
@@ -7,6 +7,10 @@
       on_end_(std::move(on_end)),
       begun_(Clock::now()) {}
 
+void TargetLease::SetLoad(const TargetLoad& load) {
+  state_->SetLoad(load, Clock::now());
+}
+
 TargetLease::~TargetLease() {
   if (state_) {
     on_end_(state_, outcome_,
--- a/src/routing/internal/target_state.cc
+++ b/src/routing/internal/target_state.cc
@@ -19,6 +19,8 @@
 constexpr Milliseconds kFirstEjection{1000};
 constexpr int kMaxEjectionDoublings = 4;
 constexpr Milliseconds kShedTime{100};
+// A target with a queue of its own gets nothing more for this long.
+constexpr Milliseconds kQueueTime{50};
 constexpr Milliseconds kPeerWorkAge{500};
 constexpr double kLatencySmoothing = 0.1;
 // A target that starts to take work gets its slots one after another over this
@@ -30,11 +32,32 @@
     : target_(target),
       endpoint_(TcpEndpoint(target.address)),
       hash_(static_cast<uint32_t>(Hash64(target.name))),
-      opened_at_(now) {}
+      opened_at_(now),
+      cold_until_(now + target.warm_up_left) {}
+
+void TargetState::SetTarget(const Target& target, TimePoint now) {
+  // The time left counts from when it was listed, not from each change of the
+  // configuration.
+  if (target.warm_up_left != target_.warm_up_left) {
+    cold_until_ = std::max<TimePoint>(cold_until_, now + target.warm_up_left);
+  }
+  target_ = target;
+}
+
+void TargetState::SetWarmUp(Milliseconds duration,
+                            double rate,
+                            double part,
+                            TimePoint now) {
+  warm_up_ = duration;
+  warm_up_rate_ = rate;
+  warm_up_limiter_.SetRate(rate, part, now);
+}
 
 void TargetState::SetClosed(bool closed, TimePoint now) {
   if (closed_ && !closed) {
+    // Without work it may have turned cold.
     opened_at_ = now;
+    cold_until_ = std::max<TimePoint>(cold_until_, now + warm_up_);
   }
   closed_ = closed;
 }
@@ -85,15 +108,29 @@
 }
 
 bool TargetState::Available(TimePoint now) const {
+  const bool limited = cold(now) && warm_up_rate_ > 0;
+  if (!Usable(now) || now < queue_until_ ||
+      (limited && !warm_up_limiter_.CanSpend(now))) {
+    return false;
+  }
   // Room for a whole request, as far as is known.
-  return Usable(now) && ExpectedWork(now) + kRoom <= Limit(now);
+  return ExpectedWork(now) + kRoom <= Limit(now);
 }
 
 bool TargetState::Usable(TimePoint now) const {
   return !closed_ && !leaving_ && !Ejected(now);
 }
 
+void TargetState::SetLoad(const TargetLoad& load, TimePoint now) {
+  if (load.waiting > 0) {
+    queue_until_ = now + kQueueTime;
+  }
+}
+
 void TargetState::Begin(TimePoint now) {
+  if (cold(now)) {
+    warm_up_limiter_.Spend(now);
+  }
   if (outstanding_ == 0) {
     progress_at_ = now;
   }
@@ -123,6 +160,9 @@
     case AttemptOutcome::kShed:
       shed_until_ = now + kShedTime;
       break;
+    case AttemptOutcome::kMoved:
+      leaving_ = true;
+      break;
     case AttemptOutcome::kCancelled:
       break;
   }
@@ -136,6 +176,8 @@
 void TargetState::Eject(TimePoint now) {
   const int doublings = std::min(ejections_, kMaxEjectionDoublings);
   ejected_until_ = now + kFirstEjection * (1 << doublings);
+  // It may have been started again meanwhile.
+  cold_until_ = std::max<TimePoint>(cold_until_, ejected_until_ + warm_up_);
   ++ejections_;
   // One more after the pause ejects again.
   failures_in_row_ = kFailuresToEject - 1;
--- a/src/routing/internal/weighted_lookup.cc
+++ b/src/routing/internal/weighted_lookup.cc
@@ -20,6 +20,13 @@
 constexpr double kLargestStep = 0.1;
 // Differences below this do not move a weight.
 constexpr double kHysteresis = 0.05;
+
+// Returns where callers reach an instance.
+template <typename Instance>
+const std::string& CallerAddress(const Instance& instance) {
+  return instance.caller_address.empty() ? instance.http_address
+                                         : instance.caller_address;
+}
 }  // namespace
 
 WeightedLookup::WeightedLookup(boost::asio::io_context& io,
@@ -37,12 +44,14 @@
   membership_ = std::move(membership);
   config_ = std::move(config);
   membership_->AddBeatSource([this](Heartbeat& heartbeat) {
+    heartbeat.ready = config_->ready();
     heartbeat.load_permille = load_();
     heartbeat.key_epoch = epoch_();
   });
   membership_->on_heartbeat().Subscribe(
       [this](const Member& member, const Heartbeat& heartbeat) {
         peer_loads_[member.name] = heartbeat.load_permille;
+        peer_ready_[member.name] = heartbeat.ready;
       });
   membership_->on_change().Subscribe(
       [this](const Member& /*member*/) { Refresh(); });
@@ -90,6 +99,19 @@
   return rendered.variants[rendered.next];
 }
 
+std::vector<std::string> WeightedLookup::CallerAddresses(
+    std::string_view region) {
+  std::vector<std::string> local;
+  std::vector<std::string> all;
+  for (const Candidate& candidate : Order(candidates_, region)) {
+    all.push_back(candidate.address);
+    if (candidate.region == region) {
+      local.push_back(candidate.address);
+    }
+  }
+  return local.empty() ? all : local;
+}
+
 void WeightedLookup::SetEpochSource(std::function<uint32_t()> epoch) {
   epoch_ = std::move(epoch);
 }
@@ -120,17 +142,17 @@
            drains.regions.count(region) > 0 ||
            drains.failure_domains.count(failure_domain) > 0;
   };
-  if (!membership_->leaving() &&
+  if (!membership_->leaving() && config_->ready() &&
       !drained(identity_->name, identity_->region, identity_->failure_domain)) {
     candidates.push_back({identity_->name, identity_->region,
-                          identity_->http_address,
+                          CallerAddress(*identity_),
                           KeyPrefix(identity_->process_id, epoch_()),
                           MoveWeight(identity_->name, load_())});
   }
   for (const auto& [name, member] : membership_->members()) {
-    if (member.usable() &&
+    if (member.usable() && peer_ready_[name] &&
         !drained(name, member.region, member.failure_domain)) {
-      candidates.push_back({name, member.region, member.http_address,
+      candidates.push_back({name, member.region, CallerAddress(member),
                             KeyPrefix(member.process_id, member.key_epoch),
                             MoveWeight(name, peer_loads_[name])});
     }
--- a/src/routing/internal/weighted_lookup.h
+++ b/src/routing/internal/weighted_lookup.h
@@ -40,6 +40,7 @@
 
   Result<std::string> LookUp(std::string_view service,
                              std::string_view region) override;
+  std::vector<std::string> CallerAddresses(std::string_view region) override;
   void SetEpochSource(std::function<uint32_t()> epoch) override;
 
  private:
@@ -71,6 +72,7 @@
   std::function<uint16_t()> load_;
   std::function<uint32_t()> epoch_;
   std::map<std::string, uint16_t> peer_loads_;
+  std::map<std::string, bool> peer_ready_;
   std::map<std::string, double> weights_;
   std::vector<Candidate> candidates_;
   // By service and region; filled on demand, emptied by Refresh().
--- a/src/routing/slot_request.h
+++ b/src/routing/slot_request.h
@@ -15,6 +15,11 @@
   std::string workspace;
   double weight = 1;
   TimePoint deadline;
+  // Requests with the same key go to the same target while it has room; empty
+  // for none.
+  std::string affinity_key;
+  // Wait where no slot is free.
+  bool waits = true;
   // Targets that were tried already.
   std::set<std::string> exclude;
   // Failure domain that is chosen only when no other is left.
--- a/src/routing/slot_waiter.h
+++ b/src/routing/slot_waiter.h
@@ -1,9 +1,9 @@
 #ifndef REDWING_ROUTING_SLOT_WAITER_H_
 #define REDWING_ROUTING_SLOT_WAITER_H_
 
-#include <boost/asio/steady_timer.hpp>
 #include <memory>
 
+#include "framework/kernel/timer.h"
 #include "routing/slot_request.h"
 
 namespace redwing {
@@ -17,7 +17,7 @@
              TimePoint now)
       : timer(io), request(wanted), since(now) {}
 
-  boost::asio::steady_timer timer;
+  Timer timer;
   SlotRequest request;
   TimePoint since;
   // There was a slot, and the request could not pay.
--- a/src/routing/target_choice.h
+++ b/src/routing/target_choice.h
@@ -11,6 +11,7 @@
 namespace redwing {
 
 class TargetState;
+struct SlotRequest;
 
 // Chooses among available targets.
 class TargetChoice {
@@ -19,12 +20,13 @@
 
   // Returns one of the candidates, which are not empty.
   virtual TargetState* Choose(const std::vector<TargetState*>& candidates,
+                              const SlotRequest& request,
                               TimePoint now,
                               std::mt19937_64& random) const = 0;
 };
 
 // Makes the choice with the given name: "random", "least_outstanding",
-// "power_of_two". Returns null for another name.
+// "power_of_two", "affinity". Returns null for another name.
 std::unique_ptr<TargetChoice> MakeTargetChoice(std::string_view name);
 
 }  // namespace redwing
--- a/src/routing/target_lease.h
+++ b/src/routing/target_lease.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 
+#include "routing/target_load.h"
 #include "routing/target_state.h"
 
 namespace redwing {
@@ -21,6 +22,8 @@
 
   const TargetState& state() const { return *state_; }
   void SetOutcome(AttemptOutcome outcome) { outcome_ = outcome; }
+  // Notes what the target said of its load.
+  void SetLoad(const TargetLoad& load);
 
  private:
   std::shared_ptr<TargetState> state_;
--- a/src/routing/target_router_options.h
+++ b/src/routing/target_router_options.h
@@ -13,6 +13,8 @@
   Milliseconds max_unpaid_wait{500};
   // Ejected targets never exceed this part of a service's local targets.
   double max_ejected_part = 0.5;
+  // Ask targets for their health at an interval.
+  bool polls_health = true;
 };
 
 }  // namespace redwing
--- a/src/routing/target_state.h
+++ b/src/routing/target_state.h
@@ -7,6 +7,8 @@
 #include <string>
 
 #include "framework/kernel/clock.h"
+#include "routing/target_load.h"
+#include "routing/warm_up_limiter.h"
 #include "steering/target.h"
 
 namespace redwing {
@@ -19,6 +21,8 @@
   // No whole answer.
   kFailed,
   kShed,
+  // Another target has its address.
+  kMoved,
   kCancelled
 };
 
@@ -27,10 +31,18 @@
  public:
   TargetState(const Target& target, TimePoint now);
 
+  // Sets what the target bears while it is cold, and this instance's part of
+  // it, 0 to 1.
+  void SetWarmUp(Milliseconds duration,
+                 double rate,
+                 double part,
+                 TimePoint now);
+  bool cold(TimePoint now) const { return now < cold_until_; }
+
   const Target& target() const { return target_; }
   const boost::asio::ip::tcp::endpoint& endpoint() const { return endpoint_; }
   uint32_t hash() const { return hash_; }
-  void SetTarget(const Target& target) { target_ = target; }
+  void SetTarget(const Target& target, TimePoint now);
 
   // No new work: it leaves, an operator drained it, or it was removed.
   void SetClosed(bool closed, TimePoint now);
@@ -54,6 +66,9 @@
   bool Ejected(TimePoint now) const { return now < ejected_until_; }
   bool Usable(TimePoint now) const;
 
+  // Notes what the target said of its load.
+  void SetLoad(const TargetLoad& load, TimePoint now);
+
   void Begin(TimePoint now);
   // Counts a failure while the target is not to be ejected just now: the
   // ejection is up to the caller.
@@ -85,6 +100,12 @@
   TimePoint opened_at_;
   TimePoint ejected_until_;
   TimePoint shed_until_;
+  // It has a queue of its own until about then.
+  TimePoint queue_until_;
+  Milliseconds warm_up_{0};
+  double warm_up_rate_ = 0;
+  TimePoint cold_until_;
+  WarmUpLimiter warm_up_limiter_;
   double latency_ms_ = 0;
   std::map<std::string, PeerWork> peer_work_;
 };
--- a/src/steering/internal/section_parser.cc
+++ b/src/steering/internal/section_parser.cc
@@ -16,6 +16,10 @@
 constexpr int64_t kMaxBodyBytes = 64LL * 1024 * 1024;
 constexpr int64_t kMaxTimeoutMs = 600'000;
 constexpr size_t kMaxNameLength = 63;
+constexpr int64_t kMaxAttempts = 16;
+constexpr int64_t kLowestPriority = 1000;
+constexpr int64_t kMinHeaderBytes = 256;
+constexpr int64_t kMaxHeaderBytes = 1024 * 1024;
 constexpr std::array<std::string_view, 6> kMethods = {"GET", "HEAD",   "POST",
                                                       "PUT", "DELETE", "PATCH"};
 
@@ -38,8 +42,8 @@
   Region region;
   region.name = ReadName(reader, "name");
   region.failure_domains = reader.Strings("failure_domains");
-  region.rate = reader.Number("rate_per_s", 0.001, kMaxRate);
-  region.burst = reader.Number("burst", 1, kMaxRate);
+  region.rate = reader.Number("rate_per_s", 0, kMaxRate);
+  region.burst = reader.Number("burst", 0, kMaxRate);
   if (region.failure_domains.empty()) {
     reader.Reject("failure_domains", "expected at least one failure domain");
   }
@@ -65,19 +69,32 @@
   return target;
 }
 
+// Reads what routes of either kind have in common.
+void ReadPolicy(ObjectReader& reader, Route* route) {
+  route->open = reader.Boolean("open", false);
+  route->idempotent = reader.Boolean("idempotent", false);
+  route->max_request_bytes = static_cast<uint64_t>(
+      reader.Integer("max_request_bytes", 0, kMaxBodyBytes, 1024 * 1024));
+  route->expected_response_bytes = static_cast<uint64_t>(
+      reader.Integer("expected_response_bytes", 0, INT32_MAX, 4096));
+  route->timeout =
+      Milliseconds(reader.Integer("timeout_ms", 1, kMaxTimeoutMs, 10'000));
+  route->target_latency =
+      Milliseconds(reader.Integer("target_latency_ms", 0, kMaxTimeoutMs, 0));
+  route->max_attempts = static_cast<int>(reader.Integer(
+      "max_attempts", 1, kMaxAttempts, Route::kDefaultMaxAttempts));
+  route->priority = static_cast<int>(
+      reader.Integer("priority", 0, kLowestPriority, 0));
+  route->affinity = reader.Boolean("affinity", false);
+  route->home_regions = reader.Strings("home_regions");
+}
+
 Route ReadRoute(ObjectReader& reader) {
   Route route;
   route.name = ReadName(reader, "name");
   route.methods = reader.Strings("methods");
   route.path_prefix = reader.String("path_prefix");
-  route.open = reader.Boolean("open", false);
-  route.idempotent = reader.Boolean("idempotent", false);
-  route.max_request_bytes = static_cast<uint64_t>(
-      reader.Integer("max_request_bytes", 0, kMaxBodyBytes, 1024 * 1024));
-  route.expected_response_bytes = static_cast<uint64_t>(
-      reader.Integer("expected_response_bytes", 0, INT32_MAX, 4096));
-  route.timeout =
-      Milliseconds(reader.Integer("timeout_ms", 1, kMaxTimeoutMs, 10'000));
+  ReadPolicy(reader, &route);
   if (route.methods.empty()) {
     reader.Reject("methods", "expected at least one method");
   }
@@ -92,9 +109,54 @@
   return route;
 }
 
+HostRoute ReadHostRoute(ObjectReader& reader) {
+  HostRoute host_route;
+  Route& route = host_route.route;
+  route.name = ReadName(reader, "name");
+  host_route.host = reader.String("host");
+  route.path_prefix = reader.String("path_prefix");
+  ReadPolicy(reader, &route);
+  const bool whole_segments = !route.path_prefix.empty() &&
+                              route.path_prefix.front() == '/' &&
+                              route.path_prefix.back() == '/';
+  if (!whole_segments) {
+    reader.Reject("path_prefix",
+                  "expected a path that begins and ends with \"/\"");
+  }
+  reader.Objects("services", [&host_route](ObjectReader& item) {
+    host_route.services.push_back(
+        {ReadName(item, "service"), item.Number("weight", 0, kMaxRate, 1)});
+  });
+  const bool any_weight =
+      std::any_of(host_route.services.begin(), host_route.services.end(),
+                  [](const ServiceShare& share) { return share.weight > 0; });
+  if (!any_weight) {
+    reader.Reject("services", "expected a service with a weight above 0");
+  }
+  return host_route;
+}
+
+CallerLimits ReadCallerLimits(ObjectReader& reader) {
+  CallerLimits limits;
+  limits.header_bytes = static_cast<size_t>(
+      reader.Integer("header_bytes", kMinHeaderBytes, kMaxHeaderBytes,
+                     static_cast<int64_t>(limits.header_bytes)));
+  limits.body_bytes = static_cast<uint64_t>(reader.Integer(
+      "body_bytes", 0, INT32_MAX, static_cast<int64_t>(limits.body_bytes)));
+  limits.header_timeout = Milliseconds(reader.Integer(
+      "header_timeout_ms", 1, kMaxTimeoutMs, limits.header_timeout.count()));
+  limits.idle_timeout = Milliseconds(reader.Integer(
+      "idle_timeout_ms", 1, kMaxTimeoutMs, limits.idle_timeout.count()));
+  return limits;
+}
+
 Service ReadService(ObjectReader& reader) {
   Service service;
   service.name = ReadName(reader, "name");
+  service.discovered = reader.Boolean("discovered", false);
+  service.warm_up =
+      Milliseconds(reader.Integer("warm_up_ms", 0, kMaxTimeoutMs, 0));
+  service.warm_up_rate = reader.Number("warm_up_rate_per_s", 0, kMaxRate, 0);
   reader.Objects("targets", [&service](ObjectReader& item) {
     service.targets.push_back(ReadTarget(item));
   });
@@ -107,9 +169,14 @@
 Workspace ReadWorkspace(ObjectReader& reader) {
   Workspace workspace;
   workspace.name = ReadName(reader, "name");
-  workspace.rate = reader.Number("rate_per_s", 0.001, kMaxRate);
-  workspace.burst = reader.Number("burst", 1, kMaxRate);
+  workspace.rate = reader.Number("rate_per_s", 0, kMaxRate);
+  workspace.burst = reader.Number("burst", 0, kMaxRate);
   workspace.weight = reader.Number("weight", 0.01, 1000, 1);
+  if (reader.Has("priority")) {
+    workspace.priority =
+        static_cast<int>(reader.Integer("priority", 0, kLowestPriority));
+  }
+  workspace.home_regions = reader.Strings("home_regions");
   workspace.may_call = reader.Strings("may_call");
   workspace.serve_stale = reader.Boolean("serve_stale", false);
   return workspace;
@@ -157,6 +224,12 @@
   reader.Objects("workspaces", [&section](ObjectReader& item) {
     section.workspaces.push_back(ReadWorkspace(item));
   });
+  reader.Objects("host_routes", [&section](ObjectReader& item) {
+    section.host_routes.push_back(ReadHostRoute(item));
+  });
+  reader.Object("caller_limits", [&section](ObjectReader& item) {
+    section.caller_limits = ReadCallerLimits(item);
+  });
   reader.Objects("clients", [&section](ObjectReader& item) {
     section.clients.push_back(ReadClientBlock(item));
   });
--- a/src/steering/internal/steering_document.cc
+++ b/src/steering/internal/steering_document.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cctype>
 #include <set>
 
 namespace redwing {
@@ -16,6 +17,14 @@
   return item == map.end() ? nullptr : &item->second;
 }
 
+std::string LowerCase(std::string_view text) {
+  std::string lower(text);
+  std::transform(lower.begin(), lower.end(), lower.begin(), [](char c) {
+    return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+  });
+  return lower;
+}
+
 // Collects the problems of one document.
 class DocumentChecker {
  public:
@@ -30,6 +39,7 @@
       CheckServices(section);
       CheckWorkspaces(section);
       CheckClients(section);
+      CheckHostRoutes(section);
     }
     return std::move(problems_);
   }
@@ -74,10 +84,10 @@
   void CheckServices(const Section& section) {
     for (const Service& service : section.services) {
       CheckUnique(&services_, "service", service.name);
-      if (service.targets.empty()) {
+      if (service.targets.empty() && !service.discovered) {
         Add("service", service.name, "has no targets");
       }
-      if (service.routes.empty()) {
+      if (service.routes.empty() && !IsReachedByHost(service.name)) {
         Add("service", service.name, "has no routes");
       }
       std::set<std::string> routes;
@@ -90,6 +100,42 @@
     }
   }
 
+  bool IsReachedByHost(const std::string& service) const {
+    const auto leads_to_it = [&service](const HostRoute& route) {
+      return std::any_of(route.services.begin(), route.services.end(),
+                         [&service](const ServiceShare& share) {
+                           return share.service == service;
+                         });
+    };
+    return std::any_of(sections_.begin(), sections_.end(),
+                       [&leads_to_it](const Section& section) {
+                         return std::any_of(section.host_routes.begin(),
+                                            section.host_routes.end(),
+                                            leads_to_it);
+                       });
+  }
+
+  void CheckHostRoutes(const Section& section) {
+    for (const HostRoute& host_route : section.host_routes) {
+      const Route& route = host_route.route;
+      CheckUnique(&host_route_names_, "host route", route.name);
+      CheckUnique(&host_paths_, "host route",
+                  LowerCase(host_route.host) + route.path_prefix);
+      for (const ServiceShare& share : host_route.services) {
+        if (document_.FindService(share.service) == nullptr) {
+          Add("host route", route.name,
+              fmt::format("service \"{}\" does not exist", share.service));
+        }
+      }
+      for (const std::string& region : route.home_regions) {
+        if (document_.FindRegion(region) == nullptr) {
+          Add("host route", route.name,
+              fmt::format("region \"{}\" does not exist", region));
+        }
+      }
+    }
+  }
+
   void CheckTarget(const Target& target) {
     CheckUnique(&targets_, "target", target.name);
     const Region* const region = document_.FindRegion(target.region);
@@ -131,6 +177,9 @@
   }
 
   void CheckCall(const Workspace& workspace, const std::string& entry) {
+    if (entry == Workspace::kAnyService) {
+      return;
+    }
     const size_t slash = entry.find('/');
     const Service* const service =
         document_.FindService(entry.substr(0, slash));
@@ -161,6 +210,8 @@
   std::set<std::string> targets_;
   std::set<std::string> workspaces_;
   std::set<std::string> clients_;
+  std::set<std::string> host_route_names_;
+  std::set<std::string> host_paths_;
   std::vector<std::string> problems_;
 };
 
@@ -185,6 +236,19 @@
     for (const Workspace& workspace : section.workspaces) {
       workspaces_.emplace(workspace.name, workspace);
     }
+    for (const HostRoute& route : section.host_routes) {
+      host_routes_[LowerCase(route.host)].push_back(route);
+    }
+    if (section.caller_limits) {
+      caller_limits_ = *section.caller_limits;
+    }
+  }
+  for (auto& [host, routes] : host_routes_) {
+    std::stable_sort(routes.begin(), routes.end(),
+                     [](const HostRoute& a, const HostRoute& b) {
+                       return a.route.path_prefix.size() >
+                              b.route.path_prefix.size();
+                     });
   }
   clients_ = ClientBlockTable(clients);
 }
@@ -209,6 +273,47 @@
   return FindIn(workspaces_, name);
 }
 
+const HostRoute* SteeringDocument::FindHostRoute(std::string_view host,
+                                                 std::string_view path) const {
+  const auto routes = host_routes_.find(LowerCase(host));
+  if (routes == host_routes_.end()) {
+    return nullptr;
+  }
+  const auto route = std::find_if(
+      routes->second.begin(), routes->second.end(),
+      [path](const HostRoute& r) {
+        return path.substr(0, r.route.path_prefix.size()) ==
+               r.route.path_prefix;
+      });
+  return route == routes->second.end() ? nullptr : &*route;
+}
+
+const HostRoute* SteeringDocument::FindHostRouteByName(
+    std::string_view name) const {
+  for (const auto& [host, routes] : host_routes_) {
+    const auto route =
+        std::find_if(routes.begin(), routes.end(), [name](const HostRoute& r) {
+          return r.route.name == name;
+        });
+    if (route != routes.end()) {
+      return &*route;
+    }
+  }
+  return nullptr;
+}
+
+SteeringDocument SteeringDocument::WithTargets(const TargetMap& targets) const {
+  SteeringDocument copy = *this;
+  for (const auto& [name, list] : targets) {
+    const auto service = copy.services_.find(name);
+    if (service != copy.services_.end() && service->second.discovered) {
+      service->second.targets.insert(service->second.targets.end(),
+                                     list.begin(), list.end());
+    }
+  }
+  return copy;
+}
+
 std::vector<std::string> FindDocumentProblems(
     const std::vector<Section>& sections) {
   return DocumentChecker(sections).Check();
--- a/src/steering/internal/workspace.cc
+++ b/src/steering/internal/workspace.cc
@@ -8,6 +8,9 @@
                         std::string_view route) const {
   return std::any_of(
       may_call.begin(), may_call.end(), [&](std::string_view entry) {
+        if (entry == kAnyService) {
+          return true;
+        }
         const size_t slash = entry.find('/');
         const bool route_allowed =
             slash == std::string_view::npos || entry.substr(slash + 1) == route;
--- a/src/steering/region.h
+++ b/src/steering/region.h
@@ -10,7 +10,7 @@
 struct Region {
   std::string name;
   std::vector<std::string> failure_domains;
-  double rate = 0;   // requests a second
+  double rate = 0;   // requests a second; 0 means no limit
   double burst = 0;  // requests
 };
 
--- a/src/steering/section.h
+++ b/src/steering/section.h
@@ -1,10 +1,13 @@
 #ifndef REDWING_STEERING_SECTION_H_
 #define REDWING_STEERING_SECTION_H_
 
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "steering/caller_limits.h"
 #include "steering/client_block.h"
+#include "steering/host_route.h"
 #include "steering/link.h"
 #include "steering/region.h"
 #include "steering/service.h"
@@ -21,6 +24,8 @@
   std::vector<Service> services;
   std::vector<Workspace> workspaces;
   std::vector<ClientBlock> clients;
+  std::vector<HostRoute> host_routes;
+  std::optional<CallerLimits> caller_limits;
 };
 
 }  // namespace redwing
--- a/src/steering/service.h
+++ b/src/steering/service.h
@@ -13,6 +13,12 @@
 // A named group of targets and the routes that lead to it.
 struct Service {
   std::string name;
+  // Its targets are those that the platform lists, beside the ones named here.
+  bool discovered = false;
+  // How long a target that has just started stays cold, and the requests a
+  // second that it bears meanwhile over the whole fleet; zero when unlimited.
+  Milliseconds warm_up{0};
+  double warm_up_rate = 0;
   std::vector<Target> targets;
   std::vector<Route> routes;
 
--- a/src/steering/steering_document.h
+++ b/src/steering/steering_document.h
@@ -22,6 +22,11 @@
   const Link* FindLink(std::string_view from, std::string_view to) const;
   const Service* FindService(std::string_view name) const;
   const Workspace* FindWorkspace(std::string_view name) const;
+  // Returns the route of a host with the longest prefix that begins the path;
+  // null when there is none. The host is compared without regard to case.
+  const HostRoute* FindHostRoute(std::string_view host,
+                                 std::string_view path) const;
+  const HostRoute* FindHostRouteByName(std::string_view name) const;
 
   using RegionMap = std::map<std::string, Region, std::less<>>;
   using ServiceMap = std::map<std::string, Service, std::less<>>;
@@ -31,6 +36,12 @@
   const ServiceMap& services() const { return services_; }
   const WorkspaceMap& workspaces() const { return workspaces_; }
   const ClientBlockTable& clients() const { return clients_; }
+  const CallerLimits& caller_limits() const { return caller_limits_; }
+
+  // Returns a copy in which a service has these targets beside its own.
+  // Targets of services that do not exist are left out.
+  using TargetMap = std::map<std::string, std::vector<Target>, std::less<>>;
+  SteeringDocument WithTargets(const TargetMap& targets) const;
 
  private:
   RegionMap regions_;
@@ -38,6 +49,9 @@
   ServiceMap services_;
   WorkspaceMap workspaces_;
   ClientBlockTable clients_;
+  CallerLimits caller_limits_;
+  // By host in lower case; longest path prefix first.
+  std::map<std::string, std::vector<HostRoute>, std::less<>> host_routes_;
 };
 
 // Checks a document as a whole: names that are defined twice, references to
--- a/src/steering/workspace.h
+++ b/src/steering/workspace.h
@@ -1,6 +1,7 @@
 #ifndef REDWING_STEERING_WORKSPACE_H_
 #define REDWING_STEERING_WORKSPACE_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -9,11 +10,17 @@
 
 // A customer: its rate and what it may call.
 struct Workspace {
+  static constexpr std::string_view kAnyService = "*";
+
   std::string name;
-  double rate = 0;   // requests a second
+  double rate = 0;   // requests a second; 0 means no limit
   double burst = 0;  // requests
   double weight = 1;
-  // Entries are "service" or "service/route".
+  // Rank under load, before the route's own; 0 goes first.
+  std::optional<int> priority;
+  // Regions in which its requests may run; empty means all.
+  std::vector<std::string> home_regions;
+  // Entries are "service", "service/route" or "*".
   std::vector<std::string> may_call;
   // Keeps being served, with the key state of that moment, by instances past
   // the freshness limit.
--- a/src/platform/instance_directory.h
+++ b/src/store/instance_directory.h
@@ -1,5 +1,5 @@
-#ifndef REDWING_PLATFORM_INSTANCE_DIRECTORY_H_
-#define REDWING_PLATFORM_INSTANCE_DIRECTORY_H_
+#ifndef REDWING_STORE_INSTANCE_DIRECTORY_H_
+#define REDWING_STORE_INSTANCE_DIRECTORY_H_
 
 #include <cstdint>
 #include <string>
@@ -8,6 +8,7 @@
 
 #include "framework/errors/result.h"
 #include "framework/http/http_types.h"
+#include "framework/kernel/clock.h"
 
 namespace redwing {
 
@@ -21,6 +22,11 @@
   std::string http_address;
   std::string peer_address;
   bool leaving = false;
+  // Of targets: requests it executes at a time, which start of it this is, and
+  // for how long it stays cold from now on.
+  int slots = 0;
+  uint64_t started_at = 0;
+  Milliseconds warm_up_left{0};
 };
 
 struct InstanceList {
@@ -42,4 +48,4 @@
 
 }  // namespace redwing
 
-#endif  // REDWING_PLATFORM_INSTANCE_DIRECTORY_H_
+#endif  // REDWING_STORE_INSTANCE_DIRECTORY_H_
--- a/src/platform/internal/kubernetes_platform.cc
+++ b/src/store/internal/kubernetes_store.cc
@@ -1,4 +1,4 @@
-#include "platform/internal/kubernetes_platform.h"
+#include "store/internal/kubernetes_store.h"
 
 #include <fmt/format.h>
 
@@ -129,7 +129,7 @@
 
 }  // namespace
 
-KubernetesPlatform::KubernetesPlatform(boost::asio::io_context& io,
+KubernetesStore::KubernetesStore(boost::asio::io_context& io,
                                        SocketRegistry& sockets,
                                        Metrics& metrics,
                                        boost::asio::ip::tcp::endpoint endpoint,
@@ -141,7 +141,7 @@
       endpoint_(std::move(endpoint)),
       timeout_(timeout) {}
 
-Result<StoredObject> KubernetesPlatform::Get(const std::string& kind,
+Result<StoredObject> KubernetesStore::Get(const std::string& kind,
                                              const std::string& name,
                                              const Yield& yield) {
   const Result<json> answer =
@@ -156,7 +156,7 @@
   }
 }
 
-Result<ObjectList> KubernetesPlatform::List(const std::string& kind,
+Result<ObjectList> KubernetesStore::List(const std::string& kind,
                                             const Yield& yield) {
   const Result<json> answer = Call(http::verb::get, KindPath(kind), {}, yield);
   if (!answer) {
@@ -174,7 +174,7 @@
   }
 }
 
-Result<StoredObject> KubernetesPlatform::Create(const StoredObject& object,
+Result<StoredObject> KubernetesStore::Create(const StoredObject& object,
                                                 const Yield& yield) {
   const Result<json> answer =
       Call(http::verb::post, KindPath(object.kind), ToJson(object), yield);
@@ -188,7 +188,7 @@
   }
 }
 
-Result<StoredObject> KubernetesPlatform::Update(const StoredObject& object,
+Result<StoredObject> KubernetesStore::Update(const StoredObject& object,
                                                 const Yield& yield) {
   const Result<json> answer =
       Call(http::verb::put, ObjectPath(object.kind, object.name),
@@ -203,7 +203,18 @@
   }
 }
 
-Failure KubernetesPlatform::Watch(
+Result<void> KubernetesStore::Delete(const StoredObject& object,
+                                     const Yield& yield) {
+  const Result<json> answer =
+      Call(http::verb::delete_, ObjectPath(object.kind, object.name),
+           {{"preconditions", {{"resourceVersion", object.version}}}}, yield);
+  if (!answer) {
+    return answer.error();
+  }
+  return boost::outcome_v2::success();
+}
+
+Failure KubernetesStore::Watch(
     const std::string& kind,
     const std::string& version,
     const std::function<void(const StoredObject&)>& on_object,
@@ -256,7 +267,7 @@
   }
 }
 
-Result<InstanceList> KubernetesPlatform::ListInstances(const Yield& yield) {
+Result<InstanceList> KubernetesStore::ListInstances(const Yield& yield) {
   const Result<json> answer =
       Call(http::verb::get, std::string(kSlicesPath), {}, yield);
   if (!answer) {
@@ -277,7 +288,7 @@
   }
 }
 
-Result<json> KubernetesPlatform::Call(http::verb method,
+Result<json> KubernetesStore::Call(http::verb method,
                                       const std::string& target,
                                       const json& body,
                                       const Yield& yield) {
--- a/src/platform/internal/kubernetes_platform.h
+++ b/src/store/internal/kubernetes_store.h
@@ -1,12 +1,12 @@
-#ifndef REDWING_PLATFORM_INTERNAL_KUBERNETES_PLATFORM_H_
-#define REDWING_PLATFORM_INTERNAL_KUBERNETES_PLATFORM_H_
+#ifndef REDWING_STORE_INTERNAL_KUBERNETES_STORE_H_
+#define REDWING_STORE_INTERNAL_KUBERNETES_STORE_H_
 
 #include <boost/asio/ip/tcp.hpp>
 #include <string>
 
 #include "framework/http/http_client.h"
-#include "platform/instance_directory.h"
-#include "platform/object_store.h"
+#include "store/instance_directory.h"
+#include "store/object_store.h"
 
 namespace redwing {
 
@@ -14,9 +14,9 @@
 
 // Binding to the Kubernetes API conventions: custom resources of the group
 // redwingcart.io/v1 for objects, EndpointSlices for instances.
-class KubernetesPlatform : public ObjectStore, public InstanceDirectory {
+class KubernetesStore : public ObjectStore, public InstanceDirectory {
  public:
-  KubernetesPlatform(boost::asio::io_context& io,
+  KubernetesStore(boost::asio::io_context& io,
                      SocketRegistry& sockets,
                      Metrics& metrics,
                      boost::asio::ip::tcp::endpoint endpoint,
@@ -30,6 +30,7 @@
                               const Yield& yield) override;
   Result<StoredObject> Update(const StoredObject& object,
                               const Yield& yield) override;
+  Result<void> Delete(const StoredObject& object, const Yield& yield) override;
   Failure Watch(const std::string& kind,
                 const std::string& version,
                 const std::function<void(const StoredObject&)>& on_object,
@@ -53,4 +54,4 @@
 
 }  // namespace redwing
 
-#endif  // REDWING_PLATFORM_INTERNAL_KUBERNETES_PLATFORM_H_
+#endif  // REDWING_STORE_INTERNAL_KUBERNETES_STORE_H_
--- a/src/platform/internal/platform_module.cc
+++ b/src/store/internal/store_module.cc
@@ -1,24 +1,24 @@
-#include "platform/platform_module.h"
+#include "store/store_module.h"
 
 #include "framework/http/socket_registry.h"
 #include "framework/kernel/kernel.h"
 #include "framework/metrics/metrics.h"
 #include "framework/settings/endpoint.h"
-#include "platform/internal/kubernetes_platform.h"
+#include "store/internal/kubernetes_store.h"
 
 namespace redwing {
 
-PlatformModule::~PlatformModule() = default;
+StoreModule::~StoreModule() = default;
 
-void PlatformModule::RegisterServices(Kernel& kernel) {
-  const std::shared_ptr<KubernetesPlatform> platform =
-      std::make_shared<KubernetesPlatform>(
+void StoreModule::RegisterServices(Kernel& kernel) {
+  const std::shared_ptr<KubernetesStore> platform =
+      std::make_shared<KubernetesStore>(
           kernel.io(), *kernel.Find<SocketRegistry>(), *kernel.Find<Metrics>(),
           TcpEndpoint(address_), timeout_);
   kernel.Register<ObjectStore>(platform);
   kernel.Register<InstanceDirectory>(platform);
 }
 
-void PlatformModule::ResolveDependencies(Kernel& /*kernel*/) {}
+void StoreModule::ResolveDependencies(Kernel& /*kernel*/) {}
 
 }  // namespace redwing
--- a/src/platform/object_store.h
+++ b/src/store/object_store.h
@@ -1,5 +1,5 @@
-#ifndef REDWING_PLATFORM_OBJECT_STORE_H_
-#define REDWING_PLATFORM_OBJECT_STORE_H_
+#ifndef REDWING_STORE_OBJECT_STORE_H_
+#define REDWING_STORE_OBJECT_STORE_H_
 
 #include <functional>
 #include <string>
@@ -8,7 +8,7 @@
 
 #include "framework/errors/result.h"
 #include "framework/http/http_types.h"
-#include "platform/stored_object.h"
+#include "store/stored_object.h"
 
 namespace redwing {
 
@@ -38,6 +38,10 @@
   // Fails with kConflict unless the stored version is object.version.
   virtual Result<StoredObject> Update(const StoredObject& object,
                                       const Yield& yield) = 0;
+  // Removes an object. Fails with kConflict unless the stored version is
+  // object.version.
+  virtual Result<void> Delete(const StoredObject& object,
+                              const Yield& yield) = 0;
   // Calls `on_object` for every change after a version, until the watch ends.
   virtual Failure Watch(
       const std::string& kind,
@@ -48,4 +52,4 @@
 
 }  // namespace redwing
 
-#endif  // REDWING_PLATFORM_OBJECT_STORE_H_
+#endif  // REDWING_STORE_OBJECT_STORE_H_
--- a/src/platform/platform_module.h
+++ b/src/store/store_module.h
@@ -1,5 +1,5 @@
-#ifndef REDWING_PLATFORM_PLATFORM_MODULE_H_
-#define REDWING_PLATFORM_PLATFORM_MODULE_H_
+#ifndef REDWING_STORE_STORE_MODULE_H_
+#define REDWING_STORE_STORE_MODULE_H_
 
 #include <memory>
 #include <string>
@@ -10,13 +10,13 @@
 namespace redwing {
 
 // The platform's object store and list of instances.
-class PlatformModule : public Module {
+class StoreModule : public Module {
  public:
-  PlatformModule(std::string address, Milliseconds timeout)
+  StoreModule(std::string address, Milliseconds timeout)
       : address_(std::move(address)), timeout_(timeout) {}
-  ~PlatformModule() override;
+  ~StoreModule() override;
 
-  std::string_view Name() const override { return "platform"; }
+  std::string_view Name() const override { return "store"; }
   void RegisterServices(Kernel& kernel) override;
   void ResolveDependencies(Kernel& kernel) override;
 
@@ -27,4 +27,4 @@
 
 }  // namespace redwing
 
-#endif  // REDWING_PLATFORM_PLATFORM_MODULE_H_
+#endif  // REDWING_STORE_STORE_MODULE_H_
--- a/src/platform/stored_object.h
+++ b/src/store/stored_object.h
@@ -1,5 +1,5 @@
-#ifndef REDWING_PLATFORM_STORED_OBJECT_H_
-#define REDWING_PLATFORM_STORED_OBJECT_H_
+#ifndef REDWING_STORE_STORED_OBJECT_H_
+#define REDWING_STORE_STORED_OBJECT_H_
 
 #include <nlohmann/json.hpp>
 #include <string>
@@ -17,4 +17,4 @@
 
 }  // namespace redwing
 
-#endif  // REDWING_PLATFORM_STORED_OBJECT_H_
+#endif  // REDWING_STORE_STORED_OBJECT_H_
--- a/testing/fake_platform/fake_platform.cc
+++ b/testing/fake_platform/fake_platform.cc
@@ -171,6 +171,11 @@
   const Result<std::string> text = exchange.ReadWholeBody(kMaxObject, yield);
   json value = json::parse(text ? text.value() : "", nullptr,
                            /*allow_exceptions=*/false);
+  if (method == http::verb::delete_ && value.is_object()) {
+    const std::pair<unsigned, json> answer = Remove(kind, name, value);
+    SendJson(exchange, answer.first, answer.second, yield);
+    return;
+  }
   if (!value.is_object() || !value.contains("metadata")) {
     SendJson(exchange, 400, StatusObject(400, "BadRequest"), yield);
     return;
@@ -267,6 +272,28 @@
   return {create ? 201 : 200, value};
 }
 
+std::pair<unsigned, json> FakePlatform::Remove(const std::string& kind,
+                                               const std::string& name,
+                                               const json& options) {
+  std::map<std::string, Object>& objects = objects_[kind];
+  const auto known = objects.find(name);
+  if (known == objects.end()) {
+    return {404, StatusObject(404, "NotFound")};
+  }
+  const json preconditions = options.value("preconditions", json::object());
+  const std::string expected = preconditions.value("resourceVersion", "");
+  if (expected != std::to_string(known->second.version)) {
+    return {409, StatusObject(409, "Conflict")};
+  }
+  ++version_;
+  events_.push_back(
+      {version_,
+       kind,
+       {{"type", "DELETED"}, {"object", known->second.value}}});
+  objects.erase(known);
+  return {200, StatusObject(200, "Success")};
+}
+
 void FakePlatform::ListSlices(HttpExchange& exchange, const Yield& yield) {
   const TimePoint now = Clock::now();
   while (!pending_changes_.empty() &&
--- a/testing/fake_platform/fake_platform.h
+++ b/testing/fake_platform/fake_platform.h
@@ -69,6 +69,9 @@
                     const Url& url,
                     const Yield& yield);
   // Writes and returns the status and body of the answer.
+  std::pair<unsigned, nlohmann::json> Remove(const std::string& kind,
+                                             const std::string& name,
+                                             const nlohmann::json& options);
   std::pair<unsigned, nlohmann::json> Write(const std::string& kind,
                                             const std::string& name,
                                             nlohmann::json value,
--- a/testing/fake_target/fake_target.cc
+++ b/testing/fake_target/fake_target.cc
@@ -3,12 +3,12 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <charconv>
 #include <cmath>
 
 #include "framework/http/url.h"
 #include "framework/kernel/sleep.h"
+#include "framework/kernel/timer.h"
 #include "framework/settings/endpoint.h"
 #include "framework/wire/digest.h"
 #include "testing/common.h"
@@ -218,7 +218,7 @@
 }
 
 bool FakeTargetSite::Work(HttpExchange& exchange, const Yield& yield) {
-  boost::asio::steady_timer work(owner_.kernel().io(), ServiceTime());
+  Timer work(owner_.kernel().io(), ServiceTime());
   exchange.WatchCaller([&work]() { work.cancel(); });
   boost::system::error_code cancelled;
   work.async_wait(yield[cancelled]);
@@ -283,8 +283,8 @@
     ++used_;
     return true;
   }
-  const std::shared_ptr<boost::asio::steady_timer> waiter =
-      std::make_shared<boost::asio::steady_timer>(owner_.kernel().io(),
+  const std::shared_ptr<Timer> waiter =
+      std::make_shared<Timer>(owner_.kernel().io(),
                                                   kForever);
   waiters_.push_back(waiter);
   boost::system::error_code woken;
--- a/testing/fake_target/fake_target.h
+++ b/testing/fake_target/fake_target.h
@@ -107,7 +107,7 @@
   HttpServer server_;
   int used_ = 0;
   int served_ = 0;
-  std::deque<std::shared_ptr<boost::asio::steady_timer>> waiters_;
+  std::deque<std::shared_ptr<Timer>> waiters_;
 };
 
 }  // namespace redwing::testing
--- a/testing/fault_proxy/links.cc
+++ b/testing/fault_proxy/links.cc
@@ -1,12 +1,12 @@
 #include "testing/fault_proxy/links.h"
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <deque>
 
 #include "framework/kernel/sleep.h"
 #include "framework/kernel/spawn.h"
+#include "framework/kernel/timer.h"
 
 namespace redwing::testing {
 
@@ -189,7 +189,7 @@
   bool answers_;
   std::deque<Piece> queue_;
   // Ends the writer's wait for a piece.
-  boost::asio::steady_timer wake_;
+  Timer wake_;
   uint64_t delivered_ = 0;
   bool ended_ = false;
 };
@@ -324,8 +324,8 @@
 }
 
 void UdpLink::SendLater(const std::string& bytes, TimePoint at) {
-  const std::shared_ptr<boost::asio::steady_timer> timer =
-      std::make_shared<boost::asio::steady_timer>(proxy_.kernel().io(), at);
+  const std::shared_ptr<Timer> timer =
+      std::make_shared<Timer>(proxy_.kernel().io(), at);
   timer->async_wait([this, timer, bytes](const boost::system::error_code& ec) {
     if (!ec) {
       boost::system::error_code ignored;
