--- a/src/delivery/internal/request_carrier.cc
+++ b/src/delivery/internal/request_carrier.cc
@@ -357,8 +357,18 @@
   plan.response_prepaid = ResponseEstimate(context);
   UpstreamAttempt attempt(pool_, *services_.budgets, metrics_,
                           options_.dialect, std::move(plan));
+  const TimePoint begun = Clock::now();
   const Result<void> result = attempt.Run(delivery.body, delivery.exchange,
                                           delivery.cancellation, yield);
+  spdlog::info(
+      "attempt {} of request {} at target {}: {}, {} ms, key {}, load {}",
+      delivery.sent, context.request_id, target.name,
+      result ? "answered" : ErrcName(result.error().errc),
+      std::chrono::duration_cast<Milliseconds>(Clock::now() - begun).count(),
+      context.affinity_key,
+      attempt.load() ? fmt::format("{}+{}", attempt.load()->running,
+                                   attempt.load()->waiting)
+                     : "unknown");
   if (attempt.load()) {
     lease.value().SetLoad(*attempt.load());
   }
