--- a/src/budget/budget_options.h
+++ b/src/budget/budget_options.h
@@ -10,6 +10,13 @@
   Milliseconds max_wait{500};
   size_t max_waiters = 512;
   Milliseconds lease_duration{1000};
+  // Time after which a process spends the share of the former process of its
+  // instance: what that one had lent must have ended. Where a former process
+  // may still run, also longer than it takes to learn that its share is gone.
+  Milliseconds inherit_delay{10'000};
+  // Requests beyond a workspace's burst that may pass, counted over the fleet:
+  // shares of small workspaces are parts of a request otherwise.
+  double burst_tolerance = 0;
 };
 
 }  // namespace redwing
--- a/src/budget/internal/share_budgets.cc
+++ b/src/budget/internal/share_budgets.cc
@@ -31,12 +31,13 @@
 }
 
 std::vector<BudgetSpec> SpecsOf(const SteeringDocument& document,
-                                const std::string& own_region) {
+                                const std::string& own_region,
+                                double burst_tolerance) {
   std::vector<BudgetSpec> specs;
   for (const auto& [name, workspace] : document.workspaces()) {
     if (workspace.rate > 0) {
       specs.push_back({WorkspaceBudgetName(name), BudgetScope::kFleet,
-                       workspace.rate, workspace.burst});
+                       workspace.rate, workspace.burst + burst_tolerance});
     }
   }
   const Region* const region = document.FindRegion(own_region);
@@ -188,7 +189,8 @@
 void ShareBudgets::ApplyDocument() {
   const TimePoint now = Clock::now();
   for (const BudgetSpec& spec :
-       SpecsOf(*config_->document(), identity_->region)) {
+       SpecsOf(*config_->document(), identity_->region,
+               options_.burst_tolerance)) {
     const auto account = accounts_.find(spec.name);
     if (account == accounts_.end()) {
       accounts_.emplace(std::piecewise_construct,
--- a/src/budget/internal/share_ledger.cc
+++ b/src/budget/internal/share_ledger.cc
@@ -38,9 +38,12 @@
 }  // namespace
 
 ShareLedger::ShareLedger(boost::asio::io_context& io,
-                         std::shared_ptr<Identity> identity)
+                         std::shared_ptr<Identity> identity,
+                         Milliseconds inherit_delay)
     : io_(io),
       identity_(std::move(identity)),
+      inherit_delay_(inherit_delay),
+      started_at_(Clock::now()),
       random_(std::random_device{}()) {}
 
 void ShareLedger::Attach(std::shared_ptr<ObjectStore> store,
@@ -102,7 +105,7 @@
                         own->second.inherited &&
                         own->second.process_id == identity_->process_id;
   if (inherits && inherited_from_ == TimePoint()) {
-    inherited_from_ = Clock::now() + kTakeOverGrace;
+    inherited_from_ = started_at_ + inherit_delay_;
   }
   on_change_.Notify();
 }
--- a/src/budget/internal/share_ledger.h
+++ b/src/budget/internal/share_ledger.h
@@ -36,7 +36,10 @@
   // Longer than freshness limit, lease duration and store timeout together.
   static constexpr Milliseconds kTakeOverGrace{10'000};
 
-  ShareLedger(boost::asio::io_context& io, std::shared_ptr<Identity> identity);
+  // `inherit_delay`: see BudgetOptions.
+  ShareLedger(boost::asio::io_context& io,
+              std::shared_ptr<Identity> identity,
+              Milliseconds inherit_delay);
 
   void Attach(std::shared_ptr<ObjectStore> store,
               std::shared_ptr<ReplicatedState> state,
@@ -69,6 +72,8 @@
 
   boost::asio::io_context& io_;
   std::shared_ptr<Identity> identity_;
+  Milliseconds inherit_delay_;
+  TimePoint started_at_;
   std::shared_ptr<ObjectStore> store_;
   std::shared_ptr<ReplicatedState> state_;
   std::shared_ptr<Membership> membership_;
--- a/src/framework/http/internal/refusal.cc
+++ b/src/framework/http/internal/refusal.cc
@@ -24,10 +24,15 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-// Returns the status of a failure: never a promise that is not true.
+// Returns the status of a failure: a promise that nothing was run where that is
+// known, and never where it is not.
 unsigned StatusOf(const Failure& failure) {
   constexpr unsigned kBadGateway = 502;
+  constexpr unsigned kUnavailable = 503;
   const unsigned status = ErrcHttpStatus(failure.errc);
+  if (failure.verdict == Verdict::kNotRun && status == kBadGateway) {
+    return kUnavailable;
+  }
   return failure.verdict != Verdict::kNotRun && PromisesNotRun(status)
              ? kBadGateway
              : status;
