--- a/apps/redwing_entry.cc
+++ b/apps/redwing_entry.cc
@@ -33,6 +33,7 @@
   MembershipOptions membership;
   membership.heartbeat_interval = settings.heartbeat_interval;
   membership.suspicion_timeout = settings.suspicion_timeout;
+  membership.remote_suspicion_timeout = settings.suspicion_timeout;
   TargetRouterOptions routing;
   routing.max_unpaid_wait = settings.max_token_wait;
   BudgetOptions budgets;
--- a/src/budget/internal/budget_account.cc
+++ b/src/budget/internal/budget_account.cc
@@ -9,6 +9,9 @@
 constexpr double kHeadroom = 1.25;
 // Time in which a backlog is to be worked off.
 constexpr double kBacklogSeconds = 0.2;
+// An instance whose tokens last this long borrows nothing: longer than it takes
+// to borrow from another region.
+constexpr double kReserveSeconds = 0.3;
 // Demand below this part of the rate counts as none.
 constexpr double kIdlePart = 1e-4;
 // A bucket must hold more than one request.
@@ -61,6 +64,12 @@
   return demand.rate() * kHeadroom + backlog / kBacklogSeconds;
 }
 
+bool BudgetAccount::HasReserve() const {
+  const double backlog = waiting_amount + reserved_amount + demand.pending();
+  return bucket.held_tokens() >=
+         backlog + demand.rate() * kHeadroom * kReserveSeconds;
+}
+
 double BudgetAccount::NeededShare() const {
   const BudgetSpec& spec = bucket.spec();
   const double rate = NeededRate();
--- a/src/budget/internal/budget_account.h
+++ b/src/budget/internal/budget_account.h
@@ -59,6 +59,8 @@
   Failure Refuse(const Charge& charge);
   // Units a second that this instance needs to keep up with its demand.
   double NeededRate() const;
+  // Returns whether the tokens held last for the demand of a while.
+  bool HasReserve() const;
   // Share of the budget with which it could, at most 1.
   double NeededShare() const;
 };
--- a/src/budget/internal/lending_policy.cc
+++ b/src/budget/internal/lending_policy.cc
@@ -25,6 +25,9 @@
 class LeasedShares : public LendingPolicy {
  public:
   double ShareToBorrow(const BudgetAccount& account) const override {
+    if (account.HasReserve()) {
+      return 0;
+    }
     const double missing =
         account.NeededShare() - account.bucket.EffectiveShare();
     return missing > kSmallestShare ? missing : 0;
--- a/src/budget/share_bucket.h
+++ b/src/budget/share_bucket.h
@@ -35,6 +35,8 @@
   // Takes tokens if there are enough.
   bool TrySpend(double amount, TimePoint now);
   double Tokens(TimePoint now);
+  // Tokens as of the last call that had the time.
+  double held_tokens() const { return tokens_; }
   double Rate() const { return EffectiveShare() * spec_.rate; }
   double Capacity() const { return EffectiveShare() * spec_.burst; }
 
--- a/src/config/internal/peer_sync.cc
+++ b/src/config/internal/peer_sync.cc
@@ -13,6 +13,7 @@
 #include "framework/settings/endpoint.h"
 #include "framework/wire/payload.h"
 #include "keys/key_ring.h"
+#include "membership/identity.h"
 #include "membership/membership.h"
 
 namespace redwing {
@@ -20,6 +21,7 @@
 namespace {
 constexpr Milliseconds kPullTimeout{2000};
 constexpr Milliseconds kPullInterval{100};
+constexpr Milliseconds kRemotePullInterval{2'000};
 constexpr Milliseconds kPushInterval{100};
 constexpr Milliseconds kPushFor{60'000};
 constexpr size_t kPerDatagram = 50;
@@ -29,9 +31,11 @@
                    Metrics& metrics,
                    std::shared_ptr<ReplicatedState> state,
                    std::shared_ptr<KeyRing> keys,
+                   std::shared_ptr<Identity> identity,
                    std::shared_ptr<StateFeed> feed)
     : io_(io),
       metrics_(metrics),
+      identity_(std::move(identity)),
       state_(std::move(state)),
       keys_(std::move(keys)),
       feed_(std::move(feed)),
@@ -117,7 +121,12 @@
   }
   const TimePoint now = Clock::now();
   TimePoint& last = pulls_[name];
-  if (now - last >= kPullInterval) {
+  const Member* const member = membership_->Find(name);
+  const bool near = member != nullptr && member->region == identity_->region;
+  // Other regions mostly tell of what the own region's watchers see as well.
+  const Milliseconds interval =
+      near || !state_->complete() ? kPullInterval : kRemotePullInterval;
+  if (now - last >= interval) {
     last = now;
     Spawn(io_, [this, name](const Yield& yield) { Pull(name, yield); });
   }
--- a/src/config/internal/peer_sync.h
+++ b/src/config/internal/peer_sync.h
@@ -22,6 +22,7 @@
 class StateFeed;
 struct Envelope;
 struct Heartbeat;
+struct Identity;
 
 // Keeps instances alike: compares digests carried by heartbeats, pulls what is
 // missing from the peer, and pushes withdrawals until they are acknowledged.
@@ -31,6 +32,7 @@
            Metrics& metrics,
            std::shared_ptr<ReplicatedState> state,
            std::shared_ptr<KeyRing> keys,
+           std::shared_ptr<Identity> identity,
            std::shared_ptr<StateFeed> feed);
 
   void Attach(std::shared_ptr<PeerTransport> transport,
@@ -58,6 +60,7 @@
 
   boost::asio::io_context& io_;
   Metrics& metrics_;
+  std::shared_ptr<Identity> identity_;
   std::shared_ptr<ReplicatedState> state_;
   std::shared_ptr<KeyRing> keys_;
   std::shared_ptr<StateFeed> feed_;
--- a/src/entry/entry_module.h
+++ b/src/entry/entry_module.h
@@ -12,6 +12,8 @@
 class GracefulStop;
 class HttpServer;
 class PeerTransport;
+class Metrics;
+class PeriodicTask;
 struct Identity;
 
 // The HTTP interface of an entry instance and its graceful shutdown.
@@ -34,6 +36,8 @@
   std::unique_ptr<EntryHandler> handler_;
   std::unique_ptr<HttpServer> server_;
   std::shared_ptr<GracefulStop> graceful_stop_;
+  std::shared_ptr<Metrics> metrics_;
+  std::unique_ptr<PeriodicTask> log_counters_;
 };
 
 }  // namespace redwing
--- a/src/entry/internal/entry_module.cc
+++ b/src/entry/internal/entry_module.cc
@@ -15,6 +15,7 @@
 #include "framework/http/http_server.h"
 #include "framework/http/socket_registry.h"
 #include "framework/kernel/kernel.h"
+#include "framework/kernel/periodic_task.h"
 #include "framework/log/log.h"
 #include "framework/metrics/metrics.h"
 #include "framework/peer/peer_transport.h"
@@ -30,6 +31,8 @@
 // A caller may have got its answer just before this instance left the
 // answers of its peers.
 constexpr Milliseconds kNoticeMargin{500};
+// How often all counters go to the log, for those who have nothing else.
+constexpr Milliseconds kCountersInterval{10'000};
 }  // namespace
 
 EntryModule::EntryModule(EntrySettings settings)
@@ -69,7 +72,12 @@
   kernel.Register<GracefulStop>(graceful_stop_);
 }
 
-void EntryModule::ResolveDependencies(Kernel& /*kernel*/) {}
+void EntryModule::ResolveDependencies(Kernel& kernel) {
+  metrics_ = kernel.Find<Metrics>();
+  log_counters_ = std::make_unique<PeriodicTask>(
+      kernel.io(), kCountersInterval,
+      [this]() { spdlog::info("counters{}", metrics_->LogLine()); });
+}
 
 void EntryModule::Start() {
   server_->Listen(TcpEndpoint(settings_.http_listen));
@@ -78,6 +86,7 @@
     identity_->http_address = address;
   }
   spdlog::info("serving on {}", address);
+  log_counters_->Start();
   // One line for whoever started the process with port 0.
   fmt::print("{{\"http\":\"{}\",\"peer_listen\":\"{}\"}}\n", address,
              transport_->local_address());
--- a/src/framework/metrics/internal/metrics.cc
+++ b/src/framework/metrics/internal/metrics.cc
@@ -63,4 +63,17 @@
   return text;
 }
 
+std::string Metrics::LogLine() const {
+  std::string text;
+  for (const auto& [name, family] : families_) {
+    for (const auto& [labels, counter] : family.series) {
+      if (counter.value() != 0) {
+        fmt::format_to(std::back_inserter(text), " {}{}={}", name, labels,
+                       counter.value());
+      }
+    }
+  }
+  return text;
+}
+
 }  // namespace redwing
--- a/src/framework/metrics/metrics.h
+++ b/src/framework/metrics/metrics.h
@@ -36,6 +36,8 @@
 
   // Renders all metrics.
   std::string PrometheusText() const;
+  // Renders the counters that are not zero as one line for the log.
+  std::string LogLine() const;
 
  private:
   struct Family {
--- a/src/framework/peer/internal/socket_peer_transport.cc
+++ b/src/framework/peer/internal/socket_peer_transport.cc
@@ -141,7 +141,8 @@
   // A full send buffer loses the datagram, as the network may.
   socket_.send_to(boost::asio::buffer(bytes), to, 0, ec);
   metrics_
-      .Get("redwing_peer_sent_bytes_total", "Datagram payload sent, in bytes")
+      .Get("redwing_peer_sent_bytes_total", "Datagram payload sent, in bytes",
+           {{"kind", std::to_string(static_cast<int>(kind))}})
       .Add(bytes.size());
 }
 
--- a/src/membership/heartbeat.h
+++ b/src/membership/heartbeat.h
@@ -18,14 +18,26 @@
   }
 };
 
-// Sent by each instance to each other at a fixed interval.
-struct Heartbeat {
+// Who the sender of heartbeats is.
+struct SenderIdentity {
   std::string region;
   std::string failure_domain;
   std::string http_address;
   std::string caller_address;
   std::string peer_address;
   std::string process_id;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(region, failure_domain, http_address, caller_address, peer_address,
+            process_id);
+  }
+};
+
+// Sent by each instance to each other at a fixed interval.
+struct Heartbeat {
+  // Left out once the receiver has told that it knows this incarnation.
+  std::vector<SenderIdentity> identity;
   bool leaving = false;
   // Has a configuration, so that callers may use it.
   bool ready = false;
@@ -44,8 +56,7 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(region, failure_domain, http_address, caller_address, peer_address,
-            process_id, leaving, ready, beat, echoed_beat, incarnation_seen, state_digest,
+    archive(identity, leaving, ready, beat, echoed_beat, incarnation_seen, state_digest,
             withdrawn_hash, load_permille, key_epoch, work);
   }
 };
--- a/src/membership/internal/heartbeat_membership.cc
+++ b/src/membership/internal/heartbeat_membership.cc
@@ -15,6 +15,26 @@
 namespace {
 constexpr size_t kSentBeatsKept = 1024;
 constexpr int kBeatStartShift = 16;
+
+bool IsWellFormed(const Heartbeat& heartbeat) {
+  return std::all_of(heartbeat.identity.begin(), heartbeat.identity.end(),
+                     [](const SenderIdentity& identity) {
+                       return ParseEndpoint(identity.peer_address) &&
+                              ParseEndpoint(identity.http_address);
+                     });
+}
+
+void SetIdentity(const SenderIdentity& identity, Member* member) {
+  member->region = identity.region;
+  member->failure_domain = identity.failure_domain;
+  member->http_address = identity.http_address;
+  member->caller_address = identity.caller_address;
+  member->peer_address = identity.peer_address;
+  if (member->process_id != identity.process_id) {
+    member->process_id = identity.process_id;
+    member->beat_to_echo = 0;
+  }
+}
 }  // namespace
 
 HeartbeatMembership::HeartbeatMembership(boost::asio::io_context& io,
@@ -135,6 +155,10 @@
 }
 
 void HeartbeatMembership::SendBeat(Heartbeat& heartbeat, const Member& member) {
+  heartbeat.identity.clear();
+  if (member.knows_incarnation != transport_->incarnation()) {
+    heartbeat.identity.push_back(OwnIdentity());
+  }
   heartbeat.echoed_beat = member.beat_to_echo;
   heartbeat.incarnation_seen = member.incarnation_seen;
   transport_->Send(UdpEndpoint(member.peer_address), MessageKind::kHeartbeat,
@@ -155,6 +179,7 @@
   }
   heartbeat.echoed_beat = 0;
   heartbeat.incarnation_seen = 0;
+  heartbeat.identity = {OwnIdentity()};
   for (const std::string& seed : seeds_) {
     if (sent_to.insert(seed).second) {
       transport_->Send(UdpEndpoint(seed), MessageKind::kHeartbeat,
@@ -196,8 +221,7 @@
 
 void HeartbeatMembership::HandleHeartbeat(const Envelope& envelope) {
   const Result<Heartbeat> decoded = DecodePayload<Heartbeat>(envelope.payload);
-  if (!decoded || !ParseEndpoint(decoded.value().peer_address) ||
-      !ParseEndpoint(decoded.value().http_address)) {
+  if (!decoded || !IsWellFormed(decoded.value())) {
     metrics_
         .Get("redwing_peer_dropped_total",
              "Messages of peers that were dropped, in messages",
@@ -207,17 +231,21 @@
   }
   const Heartbeat& heartbeat = decoded.value();
   transport_->RaiseIncarnation(heartbeat.incarnation_seen);
+  const auto known = members_.find(envelope.sender);
+  const bool identified = known != members_.end() &&
+                          known->second.incarnation_seen ==
+                              envelope.incarnation;
+  if (heartbeat.identity.empty() && !identified) {
+    // It takes us for a process that knew it: the next beat tells it otherwise.
+    return;
+  }
   Member& member = members_[envelope.sender];
   member.name = envelope.sender;
-  member.region = heartbeat.region;
-  member.failure_domain = heartbeat.failure_domain;
-  member.http_address = heartbeat.http_address;
-  member.caller_address = heartbeat.caller_address;
-  member.peer_address = heartbeat.peer_address;
-  if (member.process_id != heartbeat.process_id) {
-    member.process_id = heartbeat.process_id;
-    member.beat_to_echo = 0;
+  if (!heartbeat.identity.empty()) {
+    SetIdentity(heartbeat.identity.front(), &member);
   }
+  member.knows_incarnation = heartbeat.incarnation_seen;
+  member.ready = heartbeat.ready;
   member.key_epoch = heartbeat.key_epoch;
   member.incarnation_seen = envelope.incarnation;
   member.beat_to_echo = std::max(member.beat_to_echo, heartbeat.beat);
@@ -251,21 +279,24 @@
 
 void HeartbeatMembership::FindSuspects(TimePoint now) {
   for (auto& [name, member] : members_) {
-    const bool silent = now - member.last_heard > options_.suspicion_timeout;
+    const Milliseconds limit = member.region == identity_->region
+                                   ? options_.suspicion_timeout
+                                   : options_.remote_suspicion_timeout;
+    const bool silent = now - member.last_heard > limit;
     if (member.state != MemberState::kUnknown && silent) {
       UpdateState(member, MemberState::kSuspect);
     }
   }
 }
 
+SenderIdentity HeartbeatMembership::OwnIdentity() const {
+  return {identity_->region,         identity_->failure_domain,
+          identity_->http_address,   identity_->caller_address,
+          identity_->peer_address,   identity_->process_id};
+}
+
 Heartbeat HeartbeatMembership::MakeHeartbeat() {
   Heartbeat heartbeat;
-  heartbeat.region = identity_->region;
-  heartbeat.failure_domain = identity_->failure_domain;
-  heartbeat.http_address = identity_->http_address;
-  heartbeat.caller_address = identity_->caller_address;
-  heartbeat.peer_address = identity_->peer_address;
-  heartbeat.process_id = identity_->process_id;
   heartbeat.leaving = leaving_;
   heartbeat.beat = ++beat_;
   sent_beats_.push_back({heartbeat.beat, Clock::now()});
--- a/src/membership/internal/heartbeat_membership.h
+++ b/src/membership/internal/heartbeat_membership.h
@@ -59,6 +59,7 @@
   void NoteSync(Member& member, const Heartbeat& heartbeat);
   void UpdateState(Member& member, MemberState state);
   void FindSuspects(TimePoint now);
+  SenderIdentity OwnIdentity() const;
   Heartbeat MakeHeartbeat();
   // Beats to the own region go at every tick: its instances share targets.
   void BeatRegion();
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -30,6 +30,8 @@
   MemberState state = MemberState::kUnknown;
   // In the platform's list.
   bool listed = false;
+  // Has a configuration, so that callers may use it.
+  bool ready = false;
   TimePoint last_heard;
   // When it was first seen in the list.
   TimePoint listed_since;
@@ -37,6 +39,8 @@
   // its replicated state equalled ours. What it knew then, we know.
   TimePoint synced_at;
   uint64_t incarnation_seen = 0;
+  // Incarnation of this instance of which it has told that it knows it.
+  uint64_t knows_incarnation = 0;
   // Its own latest heartbeat number, echoed back to it.
   uint64_t beat_to_echo = 0;
 
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -21,6 +21,8 @@
   Milliseconds region_interval{50};
   // A member not heard for this long is suspect and gets no new work.
   Milliseconds suspicion_timeout{1000};
+  // The same for members of other regions.
+  Milliseconds remote_suspicion_timeout{1000};
   // A pause of the own process longer than this stops spending of budgets.
   Milliseconds pause_limit{1000};
 };
--- a/src/routing/internal/weighted_lookup.cc
+++ b/src/routing/internal/weighted_lookup.cc
@@ -51,7 +51,6 @@
   membership_->on_heartbeat().Subscribe(
       [this](const Member& member, const Heartbeat& heartbeat) {
         peer_loads_[member.name] = heartbeat.load_permille;
-        peer_ready_[member.name] = heartbeat.ready;
       });
   membership_->on_change().Subscribe(
       [this](const Member& /*member*/) { Refresh(); });
@@ -150,7 +149,7 @@
                           MoveWeight(identity_->name, load_())});
   }
   for (const auto& [name, member] : membership_->members()) {
-    if (member.usable() && peer_ready_[name] &&
+    if (member.usable() && member.ready &&
         !drained(name, member.region, member.failure_domain)) {
       candidates.push_back({name, member.region, CallerAddress(member),
                             KeyPrefix(member.process_id, member.key_epoch),
--- a/src/routing/internal/weighted_lookup.h
+++ b/src/routing/internal/weighted_lookup.h
@@ -72,7 +72,6 @@
   std::function<uint16_t()> load_;
   std::function<uint32_t()> epoch_;
   std::map<std::string, uint16_t> peer_loads_;
-  std::map<std::string, bool> peer_ready_;
   std::map<std::string, double> weights_;
   std::vector<Candidate> candidates_;
   // By service and region; filled on demand, emptied by Refresh().
