--- a/src/delivery/delivery_options.h
+++ b/src/delivery/delivery_options.h
@@ -14,6 +14,8 @@
   // request can be asked for again. Answers beyond the limit of remembered
   // ones are handed on as they come.
   bool hold_answers = false;
+  // Requests go to a target by way of the entry that leads it.
+  bool led_targets = false;
 };
 
 }  // namespace redwing
--- a/src/delivery/internal/delivery_module.cc
+++ b/src/delivery/internal/delivery_module.cc
@@ -12,6 +12,7 @@
 #include "membership/membership.h"
 #include "store/object_store.h"
 #include "routing/entry_lookup.h"
+#include "routing/placement.h"
 #include "routing/target_router.h"
 
 namespace redwing {
@@ -29,6 +30,9 @@
   services.membership = kernel.Find<Membership>();
   services.router = kernel.Find<TargetRouter>();
   services.store = kernel.Find<ObjectStore>();
+  if (options_.led_targets) {
+    services.placement = kernel.Find<Placement>();
+  }
   carrier_ = std::make_shared<RequestCarrier>(
       kernel.io(), *kernel.Find<SocketRegistry>(), *kernel.Find<Metrics>(),
       std::move(services), secrets_, options_);
--- a/src/delivery/internal/hop_token.h
+++ b/src/delivery/internal/hop_token.h
@@ -25,6 +25,10 @@
   std::string host_route;
   std::string service;
   std::string target;
+  // The only target that will do; empty for any of the region.
+  std::string wanted_target;
+  // For how long the request has been on its way.
+  uint32_t age_ms = 0;
   // Targets to which the request may still be sent.
   uint32_t attempts = 1;
   uint32_t remaining_ms = 0;
@@ -33,7 +37,8 @@
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(to_process, from_region, workspace, key_id, request_id,
-            request_line, host_route, service, target, attempts, remaining_ms, owner_hop);
+            request_line, host_route, service, target,
+            wanted_target, age_ms, attempts, remaining_ms, owner_hop);
   }
 };
 
--- a/src/delivery/internal/request_admitter.cc
+++ b/src/delivery/internal/request_admitter.cc
@@ -286,6 +286,8 @@
   }
   context->request_id = token.request_id;
   context->max_attempts = static_cast<int>(token.attempts);
+  context->wanted_target = token.wanted_target;
+  context->begun -= Milliseconds(token.age_ms);
   context->from_region = token.from_region;
   context->owner_hop = token.owner_hop;
   context->key_id = token.key_id;
--- a/src/delivery/internal/request_carrier.cc
+++ b/src/delivery/internal/request_carrier.cc
@@ -19,6 +19,7 @@
 #include "keys/key_ring.h"
 #include "membership/identity.h"
 #include "membership/membership.h"
+#include "routing/placement.h"
 #include "routing/key_prefix.h"
 #include "routing/target_router.h"
 
@@ -27,6 +28,8 @@
 namespace {
 
 constexpr unsigned kFirstServerError = 500;
+// Leaders that may refuse a request before its caller is refused.
+constexpr int kMaxPlaceRefusals = 3;
 constexpr size_t kIdlePerEndpoint = 64;
 constexpr size_t kMaxKeyedBody = 1024 * 1024;  // bytes
 // Added to the body sizes to estimate what a message takes on a link.
@@ -203,11 +206,10 @@
   bool may_have_run = false;
   std::optional<StoredAnswer> fallback;
   while (true) {
-    const std::optional<std::string> region = ChooseRegion(delivery);
-    if (!region) {
+    const Result<void> result = TryNext(delivery, yield);
+    if (delivery.exhausted) {
       break;
     }
-    const Result<void> result = TryOnce(delivery, *region, yield);
     if (result && MayReplace(delivery)) {
       fallback = std::move(delivery.answer);
       delivery.answer.reset();
@@ -236,6 +238,72 @@
   return last;
 }
 
+Result<void> RequestCarrier::TryNext(Delivery& delivery, const Yield& yield) {
+  if (options_.led_targets) {
+    return TryNextPlace(delivery, yield);
+  }
+  const std::optional<std::string> region = ChooseRegion(delivery);
+  if (!region) {
+    delivery.exhausted = true;
+    return NotRun(Errc::kNoTarget, "no region is left");
+  }
+  return TryOnce(delivery, *region, yield);
+}
+
+Result<void> RequestCarrier::TryNextPlace(Delivery& delivery,
+                                          const Yield& yield) {
+  const RequestContext& context = delivery.context;
+  if (context.forwarded()) {
+    // Its target was chosen by the entry that the caller uses.
+    delivery.exhausted = !delivery.chosen_target.empty();
+    delivery.chosen_target = context.wanted_target;
+    return delivery.exhausted ? NotRun(Errc::kNoTarget, "the target was tried")
+                              : TryLocal(delivery, yield);
+  }
+  PlaceRequest wanted;
+  wanted.service = context.service->name;
+  wanted.affinity_key =
+      context.route->affinity && !context.affinity_key.empty()
+          ? context.affinity_key
+          : context.request_id;
+  wanted.tried_targets = delivery.tried_targets;
+  wanted.may_run_in = [&context](const std::string& region) {
+    return context.MayRunIn(region);
+  };
+  const std::optional<Place> place =
+      delivery.refusals < kMaxPlaceRefusals
+          ? services_.placement->FindPlace(wanted)
+          : std::nullopt;
+  if (!place) {
+    delivery.exhausted = true;
+    return NotRun(Errc::kNoTarget, "no target is left");
+  }
+  delivery.tried_targets.insert(place->target);
+  delivery.chosen_target = place->target;
+  const Result<void> result = place->leader.empty()
+                                  ? TryLocal(delivery, yield)
+                                  : TryLeader(delivery, *place, yield);
+  if (!result && Contains(kRefusedBeforeSending, result.error().errc)) {
+    ++delivery.refusals;
+  }
+  return result;
+}
+
+Result<void> RequestCarrier::TryLeader(Delivery& delivery,
+                                       const Place& place,
+                                       const Yield& yield) {
+  const Member* const member = services_.membership->Find(place.leader);
+  if (member == nullptr) {
+    return NotRun(Errc::kPeerUnreachable, "the target's leader is gone");
+  }
+  const Member leader = *member;
+  services_.placement->BeginForward(place);
+  delivery.connect_time.reset();
+  const Result<void> result = SendToEntry(delivery, leader, false, yield);
+  services_.placement->EndForward(place, delivery.connect_time);
+  return result;
+}
+
 Result<void> RequestCarrier::TryOnce(Delivery& delivery,
                                      const std::string& region,
                                      const Yield& yield) {
@@ -392,8 +460,14 @@
   wanted.weight = context.weight();
   wanted.deadline = context.deadline;
   wanted.affinity_key = context.route->affinity ? context.affinity_key : "";
-  wanted.waits = delivery.patient;
-  wanted.exclude = delivery.tried_targets;
+  wanted.target = delivery.chosen_target;
+  if (!delivery.chosen_target.empty()) {
+    wanted.start_by = Clock::now() + AllowedWait(WaitRequestOf(context));
+  }
+  wanted.waits = delivery.patient || !delivery.chosen_target.empty();
+  if (delivery.chosen_target.empty()) {
+    wanted.exclude = delivery.tried_targets;
+  }
   wanted.avoid_failure_domain = delivery.last_failure_domain;
   wanted.pay = [&reservation]() { return reservation.TryPay(); };
   Result<TargetLease> lease = services_.router->AcquireSlot(wanted, yield);
@@ -470,20 +544,8 @@
       return admitted;
     }
   }
-  HopToken token;
-  token.to_process = member.process_id;
-  token.from_region = own;
-  token.workspace = context.workspace_name();
-  token.key_id = context.key_id;
-  token.request_id = context.request_id;
-  token.remaining_ms = static_cast<uint32_t>(
-      std::max<int64_t>(1, RemainingMs(context.deadline)));
+  HopToken token = TokenFor(delivery, member);
   token.owner_hop = owner_hop;
-  if (context.host_route != nullptr) {
-    token.host_route = context.host_route->route.name;
-    token.service = context.service->name;
-    token.target = context.target;
-  }
   const std::string target = fmt::format("{}{}{}", RequestHandler::kPathPrefix,
                                          context.service->name, context.target);
   token.request_line = fmt::format("{} {}", delivery.exchange.method(), target);
@@ -495,6 +557,7 @@
                           options_.dialect, std::move(plan));
   const Result<void> result = attempt.Run(delivery.body, delivery.exchange,
                                           delivery.cancellation, yield);
+  delivery.connect_time = attempt.connect_time();
   if (result || !Contains(kRefusedBeforeSending, result.error().errc)) {
     ++delivery.sent;
   }
@@ -502,6 +565,39 @@
   return result;
 }
 
+WaitRequest RequestCarrier::WaitRequestOf(const RequestContext& context) const {
+  WaitRequest request;
+  request.age =
+      std::chrono::duration_cast<Milliseconds>(Clock::now() - context.begun);
+  request.target_latency = context.route->target_latency;
+  request.left = Milliseconds(RemainingMs(context.deadline));
+  request.run = services_.router->TypicalRun(context.service->name);
+  return request;
+}
+
+HopToken RequestCarrier::TokenFor(const Delivery& delivery,
+                                  const Member& member) const {
+  const RequestContext& context = delivery.context;
+  const TimePoint now = Clock::now();
+  HopToken token;
+  token.to_process = member.process_id;
+  token.from_region = services_.identity->region;
+  token.workspace = context.workspace_name();
+  token.key_id = context.key_id;
+  token.request_id = context.request_id;
+  token.remaining_ms = static_cast<uint32_t>(
+      std::max<int64_t>(1, RemainingMs(context.deadline)));
+  token.age_ms = static_cast<uint32_t>(
+      std::chrono::duration_cast<Milliseconds>(now - context.begun).count());
+  token.wanted_target = delivery.chosen_target;
+  if (context.host_route != nullptr) {
+    token.host_route = context.host_route->route.name;
+    token.service = context.service->name;
+    token.target = context.target;
+  }
+  return token;
+}
+
 const Member* RequestCarrier::ChooseEntry(const std::string& region) {
   std::vector<const Member*> entries;
   for (const auto& [name, member] : services_.membership->members()) {
--- a/src/delivery/internal/request_carrier.h
+++ b/src/delivery/internal/request_carrier.h
@@ -17,6 +17,7 @@
 #include "delivery/internal/request_admitter.h"
 #include "delivery/internal/retry_budget.h"
 #include "delivery/internal/upstream_attempt.h"
+#include "delivery/internal/wait_policy.h"
 #include "delivery/request_handler.h"
 #include "framework/http/connection_pool.h"
 #include "framework/kernel/cancellation.h"
@@ -27,11 +28,13 @@
 
 class Budgets;
 class Membership;
+class Placement;
 class Metrics;
 class RequestBody;
 class TargetRouter;
 class SocketRegistry;
 struct Member;
+struct Place;
 
 // Services that a RequestCarrier uses.
 struct CarrierServices {
@@ -43,6 +46,8 @@
   std::shared_ptr<Membership> membership;
   std::shared_ptr<TargetRouter> router;
   std::shared_ptr<ObjectStore> store;
+  // Null unless targets are led.
+  std::shared_ptr<Placement> placement;
 };
 
 // Carries requests: admits them, finds a place where they run, sends them
@@ -87,6 +92,14 @@
     std::optional<StoredAnswer> answer;
     std::set<std::string> tried_targets;
     std::set<std::string> tried_regions;
+    // The target that was chosen, where targets are led.
+    std::string chosen_target;
+    // Of the last attempt, when it opened a connection.
+    std::optional<Milliseconds> connect_time;
+    // Leaders that had no room.
+    int refusals = 0;
+    // No place is left.
+    bool exhausted = false;
     std::string last_failure_domain;
   };
 
@@ -103,6 +116,14 @@
   bool MayReplace(const Delivery& delivery);
   // Returns whether the request can be sent once more at all.
   static bool CanRepeat(const Delivery& delivery);
+  // Finds the next place and sends the request there; kNoTarget when no place
+  // is left.
+  Result<void> TryNext(Delivery& delivery, const Yield& yield);
+  // The same where targets are led.
+  Result<void> TryNextPlace(Delivery& delivery, const Yield& yield);
+  Result<void> TryLeader(Delivery& delivery,
+                         const Place& place,
+                         const Yield& yield);
   // Sends it to one region. Fails as TryLocal() and TryRegion() do.
   Result<void> TryOnce(Delivery& delivery,
                        const std::string& region,
@@ -130,6 +151,8 @@
                            const Member& member,
                            bool owner_hop,
                            const Yield& yield);
+  WaitRequest WaitRequestOf(const RequestContext& context) const;
+  HopToken TokenFor(const Delivery& delivery, const Member& member) const;
   const Member* ChooseEntry(const std::string& region);
 
   // At-most-once for requests with an idempotency key.
--- a/src/delivery/internal/request_context.h
+++ b/src/delivery/internal/request_context.h
@@ -30,6 +30,8 @@
   std::string target;
   TimePoint begun;
   TimePoint deadline;
+  // The only target that will do; empty for any.
+  std::string wanted_target;
   // Targets to which the request may still be sent.
   int max_attempts = Route::kDefaultMaxAttempts;
   // Region of the entry that forwarded the request; empty if a caller sent it.
--- a/src/delivery/internal/upstream_attempt.h
+++ b/src/delivery/internal/upstream_attempt.h
@@ -69,6 +69,10 @@
   bool cut() const { return cut_; }
   // Returns whether the answer is a server error.
   bool server_error() const { return server_error_; }
+  // Time that opening a connection took; nothing when an open one was used.
+  std::optional<Milliseconds> connect_time() const {
+    return connection_ ? connection_->fresh_connect_time() : std::nullopt;
+  }
   // What the target said of its load; nothing when it said nothing.
   const std::optional<TargetLoad>& load() const { return load_; }
 
--- a/src/framework/http/http_connection.h
+++ b/src/framework/http/http_connection.h
@@ -26,6 +26,11 @@
                        TimePoint deadline,
                        const Yield& yield);
 
+  // Time that opening the connection took; nothing after its first exchange.
+  std::optional<Milliseconds> fresh_connect_time() const {
+    return exchanges_ <= 1 ? connect_time_ : std::nullopt;
+  }
+
   void ExpiresAt(TimePoint deadline) { socket_.ExpiresAt(deadline); }
 
   // Begins an exchange: sends the header with the first part of the body.
@@ -68,6 +73,8 @@
   std::optional<http::request<http::buffer_body>> request_;
   std::optional<http::request_serializer<http::buffer_body>> serializer_;
   std::optional<http::response_parser<http::buffer_body>> parser_;
+  std::optional<Milliseconds> connect_time_;
+  int exchanges_ = 0;
   bool request_sent_ = false;
   bool head_request_ = false;
 };
--- a/src/framework/http/internal/http_connection.cc
+++ b/src/framework/http/internal/http_connection.cc
@@ -26,6 +26,7 @@
     TimePoint deadline,
     const Yield& yield) {
   socket_.ExpiresAt(deadline);
+  const TimePoint begun = Clock::now();
   boost::system::error_code ec;
   sockets_.OpenFor(endpoint, socket_.socket());
   socket_.socket().async_connect(endpoint, yield[ec]);
@@ -36,6 +37,8 @@
     return NotRun(Errc::kTargetUnreachable,
                   socket_.timed_out() ? "connecting timed out" : ec.message());
   }
+  connect_time_ =
+      std::chrono::duration_cast<Milliseconds>(Clock::now() - begun);
   return boost::outcome_v2::success();
 }
 
@@ -46,6 +49,7 @@
                                           const Yield& yield) {
   head_request_ = header.method() == http::verb::head;
   request_sent_ = false;
+  ++exchanges_;
   serializer_.reset();
   parser_.emplace();
   parser_->header_limit(kResponseHeaderLimit);
--- a/src/membership/heartbeat.h
+++ b/src/membership/heartbeat.h
@@ -7,14 +7,20 @@
 
 namespace redwing {
 
-// Number of requests that an instance has in work at a target.
+// What an instance knows of a target to which it sends requests.
 struct TargetWork {
   uint32_t target_hash = 0;
+  // Requests that it has in work there.
   uint16_t outstanding = 0;
+  // Requests that wait here for the target.
+  uint16_t waiting = 0;
+  // Smoothed latency; 0 when nothing was measured.
+  uint16_t latency_ms = 0;
+  bool usable = true;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(target_hash, outstanding);
+    archive(target_hash, outstanding, waiting, latency_ms, usable);
   }
 };
 
--- /dev/null
+++ b/src/routing/internal/led_placement.cc
@@ -0,0 +1,162 @@
+#include "routing/internal/led_placement.h"
+
+#include <algorithm>
+
+#include "config/steering_config.h"
+#include "framework/wire/digest.h"
+#include "membership/identity.h"
+#include "membership/membership.h"
+#include "routing/internal/local_target_router.h"
+#include "routing/target_state.h"
+
+namespace redwing {
+
+namespace {
+// What a leader has not repeated for this long is no longer believed.
+constexpr Milliseconds kReportAge{3'000};
+constexpr double kRoundTripSmoothing = 0.2;
+// Assumed before anything was measured, milliseconds.
+constexpr double kNearRoundTrip = 2;
+constexpr double kFarRoundTrip = 50;
+// A target's own latency counts within these bounds.
+constexpr double kLeastSlowness = 0.5;
+constexpr double kMostSlowness = 10;
+}  // namespace
+
+LedPlacement::LedPlacement(std::shared_ptr<Identity> identity,
+                           std::shared_ptr<Membership> membership,
+                           std::shared_ptr<SteeringConfig> config,
+                           std::shared_ptr<LocalTargetRouter> router)
+    : identity_(identity),
+      membership_(membership),
+      config_(std::move(config)),
+      router_(std::move(router)),
+      leaders_(std::move(identity), std::move(membership)) {
+  membership_->AddBeatSource([this](Heartbeat& heartbeat) {
+    router_->ReportTargets(
+        [this](const Target& target) { return leaders_.IsOwn(target); },
+        &heartbeat);
+  });
+  membership_->on_heartbeat().Subscribe(
+      [this](const Member& member, const Heartbeat& heartbeat) {
+        ApplyReports(member, heartbeat);
+      });
+}
+
+std::optional<Place> LedPlacement::FindPlace(const PlaceRequest& request) {
+  const std::shared_ptr<const SteeringDocument> document = config_->document();
+  const Service* const service = document->FindService(request.service);
+  if (service == nullptr) {
+    return std::nullopt;
+  }
+  const ServiceTimes times = router_->TimesOf(request.service);
+  std::vector<PlaceCandidate> candidates;
+  std::vector<const Target*> targets;
+  std::map<std::string, size_t> regions;
+  for (const Target& target : service->targets) {
+    if (router_->IsClosed(target) || !request.may_run_in(target.region)) {
+      continue;
+    }
+    // A target that was tried keeps its rank, so that the others keep theirs.
+    const std::string& leader = leaders_.LeaderOf(target);
+    PlaceCandidate candidate;
+    candidate.region =
+        regions.emplace(target.region, regions.size()).first->second;
+    candidate.score = Hash64(request.affinity_key + "/" + target.name);
+    if (leader.empty() || request.tried_targets.count(target.name) > 0 ||
+        !Describe(target, leader, times.warm_ms(), &candidate)) {
+      continue;
+    }
+    candidates.push_back(candidate);
+    targets.push_back(&target);
+  }
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  const size_t best = ChoosePlace(times, &candidates);
+  const Target& target = *targets[best];
+  const std::string& leader = leaders_.LeaderOf(target);
+  return Place{target.name, target.region,
+               leader == identity_->name ? "" : leader,
+               Milliseconds(static_cast<int64_t>(candidates[best].expected))};
+}
+
+void LedPlacement::BeginForward(const Place& place) {
+  ++forwarded_[place.target];
+}
+
+void LedPlacement::EndForward(const Place& place,
+                              std::optional<Milliseconds> round_trip) {
+  const auto count = forwarded_.find(place.target);
+  if (--count->second == 0) {
+    forwarded_.erase(count);
+  }
+  if (!round_trip) {
+    return;
+  }
+  const double sample = static_cast<double>(round_trip->count());
+  double& smoothed = round_trips_.emplace(place.region, sample).first->second;
+  smoothed += (sample - smoothed) * kRoundTripSmoothing;
+}
+
+void LedPlacement::ApplyReports(const Member& member,
+                                const Heartbeat& heartbeat) {
+  const TimePoint now = Clock::now();
+  for (const TargetWork& work : heartbeat.work) {
+    reports_[work.target_hash] = {member.name,
+                                  work.outstanding + work.waiting,
+                                  static_cast<double>(work.latency_ms),
+                                  work.usable, now};
+  }
+}
+
+bool LedPlacement::Describe(const Target& target,
+                            const std::string& leader,
+                            double typical_ms,
+                            PlaceCandidate* candidate) const {
+  candidate->slots = target.slots;
+  candidate->travel = TravelTo(target.region, leader);
+  double latency_ms = 0;
+  if (leader == identity_->name) {
+    const TargetState* const state = router_->FindTarget(target);
+    if (state == nullptr || !state->Usable(Clock::now())) {
+      return false;
+    }
+    candidate->work = state->outstanding() + router_->WaitingFor(target.name);
+    latency_ms = state->latency_ms();
+  } else {
+    const auto report =
+        reports_.find(static_cast<uint32_t>(Hash64(target.name)));
+    const bool believed = report != reports_.end() &&
+                          report->second.leader == leader &&
+                          Clock::now() - report->second.at < kReportAge;
+    if (believed && !report->second.usable) {
+      return false;
+    }
+    candidate->work = believed ? report->second.work : 0;
+    latency_ms = believed ? report->second.latency_ms : 0;
+    const auto own = forwarded_.find(target.name);
+    if (own != forwarded_.end()) {
+      candidate->work = std::max<double>(candidate->work, own->second);
+    }
+  }
+  if (latency_ms > 0 && typical_ms > 0) {
+    candidate->slowness =
+        std::clamp(latency_ms / typical_ms, kLeastSlowness, kMostSlowness);
+  }
+  return true;
+}
+
+double LedPlacement::TravelTo(const std::string& region,
+                              const std::string& leader) const {
+  if (leader == identity_->name) {
+    return 0;
+  }
+  const auto measured = round_trips_.find(region);
+  if (measured != round_trips_.end()) {
+    return measured->second;
+  }
+  return region == identity_->region ? kNearRoundTrip : kFarRoundTrip;
+}
+
+}  // namespace redwing
--- a/src/routing/internal/local_target_router.cc
+++ b/src/routing/internal/local_target_router.cc
@@ -57,16 +57,18 @@
   membership_ = std::move(membership);
   config_ = std::move(config);
   config_->on_change().Subscribe([this]() { ApplyConfig(); });
-  membership_->AddBeatSource([this](Heartbeat& heartbeat) {
-    for (const auto& [name, pool] : pools_) {
-      for (const StatePtr& state : pool.targets) {
-        if (state->outstanding() > 0) {
-          heartbeat.work.push_back(
-              {state->hash(), static_cast<uint16_t>(state->outstanding())});
+  if (!options_.led_targets) {
+    membership_->AddBeatSource([this](Heartbeat& heartbeat) {
+      for (const auto& [name, pool] : pools_) {
+        for (const StatePtr& state : pool.targets) {
+          if (state->outstanding() > 0) {
+            heartbeat.work.push_back(
+                {state->hash(), static_cast<uint16_t>(state->outstanding())});
+          }
         }
       }
-    }
-  });
+    });
+  }
   membership_->on_heartbeat().Subscribe(
       [this](const Member& member, const Heartbeat& heartbeat) {
         ApplyPeerWork(member, heartbeat);
@@ -94,13 +96,24 @@
   const TimePoint now = Clock::now();
   const FairQueue::WaiterPtr waiter =
       std::make_shared<SlotWaiter>(io_, request, now);
+  if (!request.target.empty()) {
+    // Requests for different targets do not wait for each other.
+    waiter->request.workspace += "/" + request.target;
+  }
   if (!pool.queue.Push(waiter)) {
     return NotRun(Errc::kQueueFull, "too many requests wait",
                   Milliseconds(1000));
   }
   ServeWaiters(pool, now);
   if (waiter->granted) {
-    return MakeLease(waiter->granted);
+    return MakeLease(waiter->granted, request);
+  }
+  if (!request.target.empty() && !waiter->unpaid) {
+    const Milliseconds wait = ExpectedWait(pool, request.target);
+    if (now + wait > request.start_by) {
+      pool.queue.Remove(waiter);
+      return NotRun(Errc::kQueueFull, "no slot is free in time", wait);
+    }
   }
   if (!request.waits && !waiter->unpaid) {
     pool.queue.Remove(waiter);
@@ -118,6 +131,10 @@
              [now](const StatePtr& state) { return state->Usable(now); });
 }
 
+Milliseconds LocalTargetRouter::TypicalRun(const std::string& service) const {
+  return Milliseconds(static_cast<int64_t>(TimesOf(service).warm_ms()));
+}
+
 uint16_t LocalTargetRouter::LoadPermille() const {
   int slots = 0;
   int work = 0;
@@ -163,6 +180,62 @@
   return list;
 }
 
+const TargetState* LocalTargetRouter::FindTarget(const Target& target) const {
+  for (const auto& [name, pool] : pools_) {
+    for (const StatePtr& state : pool.targets) {
+      if (IsSame(state->target(), target)) {
+        return state.get();
+      }
+    }
+  }
+  return nullptr;
+}
+
+Milliseconds LocalTargetRouter::ExpectedWait(
+    const Pool& pool,
+    const std::string& target) const {
+  const auto state = std::find_if(
+      pool.targets.begin(), pool.targets.end(),
+      [&target](const StatePtr& s) { return s->target().name == target; });
+  if (state == pool.targets.end()) {
+    return Milliseconds::max();
+  }
+  const double ahead =
+      (*state)->outstanding() + WaitingFor(target) + 1 - (*state)->target().slots;
+  const double run = std::max((*state)->latency_ms(), pool.times.warm_ms());
+  return Milliseconds(static_cast<int64_t>(
+      std::max(0.0, ahead) / (*state)->target().slots * run));
+}
+
+int LocalTargetRouter::WaitingFor(const std::string& target) const {
+  const auto waiting = waiting_for_.find(target);
+  return waiting == waiting_for_.end() ? 0 : waiting->second;
+}
+
+ServiceTimes LocalTargetRouter::TimesOf(const std::string& service) const {
+  const auto pool = pools_.find(service);
+  return pool == pools_.end() ? ServiceTimes() : pool->second.times;
+}
+
+void LocalTargetRouter::ReportTargets(
+    const std::function<bool(const Target&)>& is_own,
+    Heartbeat* heartbeat) const {
+  const TimePoint now = Clock::now();
+  for (const auto& [name, pool] : pools_) {
+    for (const StatePtr& state : pool.targets) {
+      if (!is_own(state->target()) && state->outstanding() == 0) {
+        continue;
+      }
+      heartbeat->work.push_back(
+          {state->hash(), static_cast<uint16_t>(state->outstanding()),
+           static_cast<uint16_t>(WaitingFor(state->target().name)),
+           static_cast<uint16_t>(std::min<double>(state->latency_ms(),
+                                                  UINT16_MAX)),
+           state->Usable(now)});
+    }
+  }
+}
+
 void LocalTargetRouter::ApplyConfig() {
   const std::shared_ptr<const SteeringDocument> document = config_->document();
   const TimePoint now = Clock::now();
@@ -237,14 +310,21 @@
   const uint64_t own = ColdScore(identity_->name, target);
   size_t before = 0;
   size_t senders = 1;
+  size_t heard = 1;
   for (const auto& [name, member] : membership_->members()) {
     if (member.region != identity_->region ||
         !(member.listed || member.usable())) {
       continue;
     }
     ++senders;
+    heard += member.usable() ? 1 : 0;
     before += ColdScore(name, target) > own ? 1 : 0;
   }
+  if (options_.led_targets) {
+    // The leader spends alone. Where not all listed instances are heard, they
+    // may have another leader: only a part is safe.
+    return static_cast<double>(heard) / static_cast<double>(senders);
+  }
   const size_t parts = std::min(senders, kColdSenders);
   return before < parts ? 1.0 / static_cast<double>(parts) : 0;
 }
@@ -276,8 +356,9 @@
   std::vector<TargetState*> preferred;
   std::vector<TargetState*> others;
   for (const StatePtr& state : pool.targets) {
-    if (!state->Available(now) ||
-        request.exclude.count(state->target().name) > 0) {
+    const std::string& name = state->target().name;
+    const bool wanted = request.target.empty() || request.target == name;
+    if (!wanted || !state->Available(now) || request.exclude.count(name) > 0) {
       continue;
     }
     const bool avoid =
@@ -304,11 +385,15 @@
     wake_.Start();
   }
   waiter->timer.expires_at(std::min<TimePoint>(
-      waiter->request.deadline, waiter->since + options_.max_wait));
+      {waiter->request.deadline, waiter->request.start_by,
+       waiter->since + options_.max_wait}));
   boost::system::error_code ignored;
+  const std::string& target = waiter->request.target;
+  ++waiting_for_[target];
   waiter->timer.async_wait(yield[ignored]);
+  --waiting_for_[target];
   if (waiter->granted) {
-    return MakeLease(waiter->granted);
+    return MakeLease(waiter->granted, waiter->request);
   }
   pool.queue.Remove(waiter);
   if (waiter->unpaid) {
@@ -324,13 +409,16 @@
                       Milliseconds(1000));
 }
 
-TargetLease LocalTargetRouter::MakeLease(const StatePtr& state) {
-  return {state, [this](const StatePtr& ended, AttemptOutcome outcome,
-                        Milliseconds latency) {
+TargetLease LocalTargetRouter::MakeLease(const StatePtr& state,
+                                         const SlotRequest& request) {
+  const bool warm =
+      !request.affinity_key.empty() && state->AddKey(request.affinity_key);
+  return {state, [this, warm](const StatePtr& ended, AttemptOutcome outcome,
+                              Milliseconds latency) {
             for (const auto& [name, pool] : pools_) {
               if (std::find(pool.targets.begin(), pool.targets.end(), ended) !=
                   pool.targets.end()) {
-                EndAttempt(name, ended, outcome, latency);
+                EndAttempt(name, ended, outcome, latency, warm);
                 return;
               }
             }
@@ -341,10 +429,14 @@
 void LocalTargetRouter::EndAttempt(const std::string& service,
                                    const StatePtr& state,
                                    AttemptOutcome outcome,
-                                   Milliseconds latency) {
+                                   Milliseconds latency,
+                                   bool warm) {
   const TimePoint now = Clock::now();
   state->End(outcome, latency, now);
   Pool& pool = pools_.find(service)->second;
+  if (outcome == AttemptOutcome::kAnswered) {
+    pool.times.Learn(warm, latency);
+  }
   const bool bad = outcome == AttemptOutcome::kFailed ||
                    outcome == AttemptOutcome::kErrorAnswer;
   if (bad && state->WantsEjection()) {
--- a/src/routing/internal/local_target_router.h
+++ b/src/routing/internal/local_target_router.h
@@ -11,6 +11,7 @@
 #include "framework/http/http_client.h"
 #include "framework/kernel/periodic_task.h"
 #include "routing/fair_queue.h"
+#include "routing/service_times.h"
 #include "routing/target_choice.h"
 #include "routing/target_router.h"
 #include "routing/target_router_options.h"
@@ -45,22 +46,35 @@
   Result<TargetLease> AcquireSlot(const SlotRequest& request,
                                   const Yield& yield) override;
   bool HasUsableTarget(std::string_view service) const override;
+  Milliseconds TypicalRun(const std::string& service) const override;
   uint16_t LoadPermille() const override;
   std::vector<std::string> RegionsOf(std::string_view service) const override;
   std::vector<TargetStatus> Status() const override;
 
+  // Returns the state of a target of the own region; null when there is none.
+  const TargetState* FindTarget(const Target& target) const;
+  // Number of requests that wait here for a target.
+  int WaitingFor(const std::string& target) const;
+  // What runs of a service take, learned from those that began here.
+  ServiceTimes TimesOf(const std::string& service) const;
+  // Adds what is known of the targets that `is_own` names to a heartbeat.
+  void ReportTargets(const std::function<bool(const Target&)>& is_own,
+                     Heartbeat* heartbeat) const;
+  // Returns whether a target, of any region, is to get no new work.
+  bool IsClosed(const Target& target) const;
+
  private:
   using StatePtr = std::shared_ptr<TargetState>;
   struct Pool {
     explicit Pool(size_t queue_limit) : queue(queue_limit) {}
     std::vector<StatePtr> targets;
     FairQueue queue;
+    ServiceTimes times;
   };
   using PoolMap = std::map<std::string, Pool, std::less<>>;
 
   void ApplyConfig();
   void CloseRemovedServices(const SteeringDocument& document, TimePoint now);
-  bool IsClosed(const Target& target) const;
   // This instance's part of what a cold target bears, 0 to 1.
   double ColdPart(const Target& target) const;
   void ApplyPeerWork(const Member& member, const Heartbeat& heartbeat);
@@ -68,11 +82,14 @@
   Result<TargetLease> WaitForSlot(Pool& pool,
                                   const FairQueue::WaiterPtr& waiter,
                                   const Yield& yield);
-  TargetLease MakeLease(const StatePtr& state);
+  TargetLease MakeLease(const StatePtr& state, const SlotRequest& request);
+  // Time until a request that comes now would get a slot of a target.
+  Milliseconds ExpectedWait(const Pool& pool, const std::string& target) const;
   void EndAttempt(const std::string& service,
                   const StatePtr& state,
                   AttemptOutcome outcome,
-                  Milliseconds latency);
+                  Milliseconds latency,
+                  bool warm);
   void MaybeEject(Pool& pool, const StatePtr& state, TimePoint now);
   // Gives free slots to waiting requests that can pay.
   void ServeWaiters(Pool& pool, TimePoint now);
@@ -92,6 +109,8 @@
   std::shared_ptr<Membership> membership_;
   std::shared_ptr<SteeringConfig> config_;
   PoolMap pools_;
+  // By target: requests that wait for it alone.
+  std::map<std::string, int> waiting_for_;
   std::mt19937_64 random_;
   // Runs while requests wait.
   PeriodicTask wake_;
--- a/src/routing/internal/routing_module.cc
+++ b/src/routing/internal/routing_module.cc
@@ -6,6 +6,7 @@
 #include "framework/metrics/metrics.h"
 #include "membership/identity.h"
 #include "membership/membership.h"
+#include "routing/internal/led_placement.h"
 #include "routing/internal/local_target_router.h"
 #include "routing/internal/weighted_lookup.h"
 #include "routing/target_choice.h"
@@ -21,6 +22,12 @@
   router_ = std::make_shared<LocalTargetRouter>(
       kernel.io(), *kernel.Find<SocketRegistry>(), *kernel.Find<Metrics>(),
       identity, MakeTargetChoice(target_choice_), options_);
+  if (options_.led_targets) {
+    placement_ = std::make_shared<LedPlacement>(
+        identity, kernel.Find<Membership>(), kernel.Find<SteeringConfig>(),
+        router_);
+    kernel.Register<Placement>(placement_);
+  }
   kernel.Register<EntryLookup>(lookup_);
   kernel.Register<TargetRouter>(router_);
 }
--- /dev/null
+++ b/src/routing/internal/service_times.cc
@@ -0,0 +1,38 @@
+#include "routing/service_times.h"
+
+#include <algorithm>
+
+namespace redwing {
+
+namespace {
+// Weight of one sample once there are enough of them.
+constexpr int kSamplesOfMemory = 30;
+// Assumed before anything has run, milliseconds.
+constexpr double kAssumedWarm = 100;
+// A run that finds nothing prepared takes some times as long; assumed until
+// both kinds were seen.
+constexpr double kAssumedRatio = 3;
+}  // namespace
+
+void ServiceTimes::Average::Add(double sample) {
+  samples = std::min(samples + 1, kSamplesOfMemory);
+  value += (sample - value) / samples;
+}
+
+void ServiceTimes::Learn(bool warm, Milliseconds time) {
+  (warm ? warm_ : cold_).Add(static_cast<double>(time.count()));
+}
+
+double ServiceTimes::warm_ms() const {
+  if (warm_.samples > 0) {
+    return warm_.value;
+  }
+  return cold_.samples > 0 ? cold_.value / kAssumedRatio : kAssumedWarm;
+}
+
+double ServiceTimes::cold_ms() const {
+  return cold_.samples > 0 ? std::max(cold_.value, warm_ms())
+                           : warm_ms() * kAssumedRatio;
+}
+
+}  // namespace redwing
--- a/src/routing/internal/target_state.cc
+++ b/src/routing/internal/target_state.cc
@@ -121,6 +121,10 @@
   return !closed_ && !leaving_ && !Ejected(now);
 }
 
+bool TargetState::AddKey(const std::string& affinity_key) {
+  return recent_keys_.Add(Hash64(affinity_key));
+}
+
 void TargetState::SetLoad(const TargetLoad& load, TimePoint now) {
   if (load.waiting > 0) {
     queue_until_ = now + kQueueTime;
--- /dev/null
+++ b/src/routing/placement.h
@@ -0,0 +1,45 @@
+#ifndef REDWING_ROUTING_PLACEMENT_H_
+#define REDWING_ROUTING_PLACEMENT_H_
+
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "routing/place.h"
+
+namespace redwing {
+
+// What a request needs of its place.
+struct PlaceRequest {
+  std::string service;
+  // Requests with the same key go to the same few targets.
+  std::string affinity_key;
+  std::set<std::string> tried_targets;
+  // Tells whether the request may run in a region.
+  std::function<bool(const std::string&)> may_run_in;
+};
+
+// Finds places for requests where each target is led by one entry of its
+// region, which alone gives out its slots.
+class Placement {
+ public:
+  static constexpr std::string_view kServiceName = "placement";
+
+  virtual ~Placement() = default;
+
+  // Returns the place from which the answer is expected first; nothing when
+  // none is left.
+  virtual std::optional<Place> FindPlace(const PlaceRequest& request) = 0;
+
+  // Tells of requests handed to other entries for a target.
+  virtual void BeginForward(const Place& place) = 0;
+  // `round_trip`: time that the way alone took, where it is known.
+  virtual void EndForward(const Place& place,
+                          std::optional<Milliseconds> round_trip) = 0;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_ROUTING_PLACEMENT_H_
--- a/src/routing/routing_module.h
+++ b/src/routing/routing_module.h
@@ -10,6 +10,7 @@
 
 namespace redwing {
 
+class LedPlacement;
 class LocalTargetRouter;
 class WeightedLookup;
 
@@ -36,6 +37,7 @@
   TargetRouterOptions options_;
   std::shared_ptr<WeightedLookup> lookup_;
   std::shared_ptr<LocalTargetRouter> router_;
+  std::shared_ptr<LedPlacement> placement_;
 };
 
 }  // namespace redwing
--- a/src/routing/slot_request.h
+++ b/src/routing/slot_request.h
@@ -15,9 +15,13 @@
   std::string workspace;
   double weight = 1;
   TimePoint deadline;
+  // A slot after this time is of no use.
+  TimePoint start_by = TimePoint::max();
   // Requests with the same key go to the same target while it has room; empty
   // for none.
   std::string affinity_key;
+  // The only target that will do; empty for any.
+  std::string target;
   // Wait where no slot is free.
   bool waits = true;
   // Targets that were tried already.
--- a/src/routing/target_router.h
+++ b/src/routing/target_router.h
@@ -37,6 +37,8 @@
 
   // Returns whether the region has targets of the service that take work.
   virtual bool HasUsableTarget(std::string_view service) const = 0;
+  // What a run of a service is likely to take.
+  virtual Milliseconds TypicalRun(const std::string& service) const = 0;
   // Part of the local capacity in use, 0 to 1000.
   virtual uint16_t LoadPermille() const = 0;
   // Returns the regions in which a service has targets that are not drained.
--- a/src/routing/target_router_options.h
+++ b/src/routing/target_router_options.h
@@ -13,6 +13,8 @@
   Milliseconds max_unpaid_wait{500};
   // Ejected targets never exceed this part of a service's local targets.
   double max_ejected_part = 0.5;
+  // Each target gets its work through the one entry that leads it.
+  bool led_targets = false;
   // Ask targets for their health at an interval.
   bool polls_health = true;
 };
--- a/src/routing/target_state.h
+++ b/src/routing/target_state.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "framework/kernel/clock.h"
+#include "routing/recent_keys.h"
 #include "routing/target_load.h"
 #include "routing/warm_up_limiter.h"
 #include "steering/target.h"
@@ -66,6 +67,9 @@
   bool Ejected(TimePoint now) const { return now < ejected_until_; }
   bool Usable(TimePoint now) const;
 
+  // Notes that a request for an object goes there; returns whether one went
+  // lately.
+  bool AddKey(const std::string& affinity_key);
   // Notes what the target said of its load.
   void SetLoad(const TargetLoad& load, TimePoint now);
 
@@ -106,6 +110,7 @@
   double warm_up_rate_ = 0;
   TimePoint cold_until_;
   WarmUpLimiter warm_up_limiter_;
+  RecentKeys recent_keys_;
   double latency_ms_ = 0;
   std::map<std::string, PeerWork> peer_work_;
 };
