--- a/src/membership/heartbeat.h
+++ b/src/membership/heartbeat.h
@@ -14,13 +14,13 @@
   uint16_t outstanding = 0;
   // Requests that wait here for the target.
   uint16_t waiting = 0;
-  // Smoothed latency; 0 when nothing was measured.
-  uint16_t latency_ms = 0;
+  // Its times as a percentage of its service's.
+  uint16_t slowness_percent = 100;
   bool usable = true;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(target_hash, outstanding, waiting, latency_ms, usable);
+    archive(target_hash, outstanding, waiting, slowness_percent, usable);
   }
 };
 
--- a/src/routing/internal/led_placement.cc
+++ b/src/routing/internal/led_placement.cc
@@ -18,9 +18,9 @@
 // Assumed before anything was measured, milliseconds.
 constexpr double kNearRoundTrip = 2;
 constexpr double kFarRoundTrip = 50;
-// A target's own latency counts within these bounds.
-constexpr double kLeastSlowness = 0.5;
-constexpr double kMostSlowness = 10;
+// Multiple of its service's times from which a target counts as slow.
+constexpr double kNoticedSlowness = 1.6;
+constexpr double kPercent = 100;
 }  // namespace
 
 LedPlacement::LedPlacement(std::shared_ptr<Identity> identity,
@@ -52,19 +52,20 @@
   const ServiceTimes times = router_->TimesOf(request.service);
   std::vector<PlaceCandidate> candidates;
   std::vector<const Target*> targets;
-  std::map<std::string, size_t> regions;
+  const uint64_t key_hash = Hash64(request.affinity_key);
   for (const Target& target : service->targets) {
     if (router_->IsClosed(target) || !request.may_run_in(target.region)) {
       continue;
     }
-    // A target that was tried keeps its rank, so that the others keep theirs.
     const std::string& leader = leaders_.LeaderOf(target);
     PlaceCandidate candidate;
-    candidate.region =
-        regions.emplace(target.region, regions.size()).first->second;
+    candidate.near = target.region == identity_->region;
     candidate.score = Hash64(request.affinity_key + "/" + target.name);
+    const auto visited = visited_.find(target.name);
+    candidate.visited =
+        visited != visited_.end() && visited->second.Contains(key_hash);
     if (leader.empty() || request.tried_targets.count(target.name) > 0 ||
-        !Describe(target, leader, times.warm_ms(), &candidate)) {
+        !Describe(target, leader, &candidate)) {
       continue;
     }
     candidates.push_back(candidate);
@@ -76,6 +77,7 @@
   const size_t best = ChoosePlace(times, &candidates);
   const Target& target = *targets[best];
   const std::string& leader = leaders_.LeaderOf(target);
+  visited_[target.name].Add(key_hash);
   return Place{target.name, target.region,
                leader == identity_->name ? "" : leader,
                Milliseconds(static_cast<int64_t>(candidates[best].expected))};
@@ -105,25 +107,24 @@
   for (const TargetWork& work : heartbeat.work) {
     reports_[work.target_hash] = {member.name,
                                   work.outstanding + work.waiting,
-                                  static_cast<double>(work.latency_ms),
+                                  work.slowness_percent / kPercent,
                                   work.usable, now};
   }
 }
 
 bool LedPlacement::Describe(const Target& target,
                             const std::string& leader,
-                            double typical_ms,
                             PlaceCandidate* candidate) const {
   candidate->slots = target.slots;
   candidate->travel = TravelTo(target.region, leader);
-  double latency_ms = 0;
+  double slowness = 1;
   if (leader == identity_->name) {
     const TargetState* const state = router_->FindTarget(target);
     if (state == nullptr || !state->Usable(Clock::now())) {
       return false;
     }
     candidate->work = state->outstanding() + router_->WaitingFor(target.name);
-    latency_ms = state->latency_ms();
+    slowness = state->slowness();
   } else {
     const auto report =
         reports_.find(static_cast<uint32_t>(Hash64(target.name)));
@@ -134,16 +135,14 @@
       return false;
     }
     candidate->work = believed ? report->second.work : 0;
-    latency_ms = believed ? report->second.latency_ms : 0;
+    slowness = believed ? report->second.slowness : 1;
     const auto own = forwarded_.find(target.name);
     if (own != forwarded_.end()) {
       candidate->work = std::max<double>(candidate->work, own->second);
     }
   }
-  if (latency_ms > 0 && typical_ms > 0) {
-    candidate->slowness =
-        std::clamp(latency_ms / typical_ms, kLeastSlowness, kMostSlowness);
-  }
+  // Small differences are chance: keys stay where they are.
+  candidate->slowness = slowness < kNoticedSlowness ? 1 : slowness;
   return true;
 }
 
--- a/src/routing/internal/led_placement.h
+++ b/src/routing/internal/led_placement.h
@@ -8,6 +8,7 @@
 #include "routing/internal/target_leaders.h"
 #include "routing/place_choice.h"
 #include "routing/placement.h"
+#include "routing/recent_keys.h"
 
 namespace redwing {
 
@@ -37,7 +38,7 @@
   struct Report {
     std::string leader;
     int work = 0;
-    double latency_ms = 0;
+    double slowness = 1;
     bool usable = true;
     TimePoint at;
   };
@@ -46,7 +47,6 @@
   // Fills what is known of a target's load; false when it takes no work.
   bool Describe(const Target& target,
                 const std::string& leader,
-                double typical_ms,
                 PlaceCandidate* candidate) const;
   double TravelTo(const std::string& region, const std::string& leader) const;
 
@@ -59,6 +59,8 @@
   std::map<uint32_t, Report> reports_;
   // Requests handed to other entries that have no answer yet, by target.
   std::map<std::string, int> forwarded_;
+  // Keys sent from here, by target.
+  std::map<std::string, RecentKeys> visited_;
   // Smoothed round trip to the entries of a region, milliseconds.
   std::map<std::string, double> round_trips_;
 };
--- a/src/routing/internal/local_target_router.cc
+++ b/src/routing/internal/local_target_router.cc
@@ -20,6 +20,7 @@
 constexpr Milliseconds kHealthInterval{500};
 constexpr Milliseconds kHealthTimeout{400};
 constexpr double kFullLoad = 1000;
+constexpr double kPercent = 100;
 // Instances of a region among which the requests to a cold target are shared.
 constexpr size_t kColdSenders = 4;
 
@@ -202,7 +203,7 @@
   }
   const double ahead =
       (*state)->outstanding() + WaitingFor(target) + 1 - (*state)->target().slots;
-  const double run = std::max((*state)->latency_ms(), pool.times.warm_ms());
+  const double run = (*state)->slowness() * pool.times.warm_ms();
   return Milliseconds(static_cast<int64_t>(
       std::max(0.0, ahead) / (*state)->target().slots * run));
 }
@@ -229,8 +230,8 @@
       heartbeat->work.push_back(
           {state->hash(), static_cast<uint16_t>(state->outstanding()),
            static_cast<uint16_t>(WaitingFor(state->target().name)),
-           static_cast<uint16_t>(std::min<double>(state->latency_ms(),
-                                                  UINT16_MAX)),
+           static_cast<uint16_t>(std::min<double>(
+               state->slowness() * kPercent, UINT16_MAX)),
            state->Usable(now)});
     }
   }
@@ -435,6 +436,8 @@
   state->End(outcome, latency, now);
   Pool& pool = pools_.find(service)->second;
   if (outcome == AttemptOutcome::kAnswered) {
+    const double usual = warm ? pool.times.warm_ms() : pool.times.cold_ms();
+    state->NoteRun(static_cast<double>(latency.count()) / usual);
     pool.times.Learn(warm, latency);
   }
   const bool bad = outcome == AttemptOutcome::kFailed ||
--- a/src/routing/internal/place_choice.cc
+++ b/src/routing/internal/place_choice.cc
@@ -22,15 +22,14 @@
   std::sort(order.begin(), order.end(), [candidates](size_t a, size_t b) {
     return (*candidates)[a].score > (*candidates)[b].score;
   });
-  std::vector<size_t> seen_in_region;
+  bool own_seen = false;
   size_t best = order.front();
   double best_cost = 0;
   for (const size_t index : order) {
     PlaceCandidate& candidate = (*candidates)[index];
-    if (seen_in_region.size() <= candidate.region) {
-      seen_in_region.resize(candidate.region + 1, 0);
-    }
-    const bool warm = seen_in_region[candidate.region]++ < kTargetsPerKey;
+    const bool own = candidate.near && !own_seen;
+    own_seen = own_seen || candidate.near;
+    const bool warm = own || candidate.visited;
     const double warm_run = times.warm_ms() * candidate.slowness;
     const double extra =
         warm ? 0 : (times.cold_ms() - times.warm_ms()) * candidate.slowness;
--- a/src/routing/internal/target_state.cc
+++ b/src/routing/internal/target_state.cc
@@ -23,6 +23,7 @@
 constexpr Milliseconds kQueueTime{50};
 constexpr Milliseconds kPeerWorkAge{500};
 constexpr double kLatencySmoothing = 0.1;
+constexpr double kSlownessSmoothing = 0.2;
 // A target that starts to take work gets its slots one after another over this
 // time, since it may be cold.
 constexpr Milliseconds kWarmUp{2000};
@@ -172,6 +173,10 @@
   }
 }
 
+void TargetState::NoteRun(double multiple) {
+  slowness_ += (multiple - slowness_) * kSlownessSmoothing;
+}
+
 bool TargetState::WantsEjection() const {
   return failures_in_row_ >= kFailuresToEject ||
          error_answers_in_row_ >= kErrorAnswersToEject;
--- a/src/routing/place_choice.h
+++ b/src/routing/place_choice.h
@@ -18,17 +18,16 @@
   double slowness = 1;
   // Time for the way there and back, in milliseconds.
   double travel = 0;
-  // Region, as a number, and the rendezvous score of target and affinity key.
-  size_t region = 0;
+  // Rendezvous score of target and affinity key.
   uint64_t score = 0;
+  // In the region of the request's entry, where the key's own target is.
+  bool near = false;
+  // The key was sent there lately.
+  bool visited = false;
   // Filled by ChoosePlace(): time until the answer, in milliseconds.
   double expected = 0;
 };
 
-// Targets of a region that share the objects of one key. More take the peaks
-// of a key that is asked for often; fewer keep more keys warm.
-inline constexpr size_t kTargetsPerKey = 2;
-
 // A cold run takes a slot from others for longer: its extra time counts this
 // many times.
 inline constexpr double kColdWeight = 2;
--- a/src/routing/recent_keys.h
+++ b/src/routing/recent_keys.h
@@ -13,6 +13,7 @@
  public:
   // Adds a key; returns whether it was there.
   bool Add(uint64_t key);
+  bool Contains(uint64_t key) const { return keys_.count(key) > 0; }
 
  private:
   // More than targets are likely to keep warm; older keys say nothing.
--- a/src/routing/target_state.h
+++ b/src/routing/target_state.h
@@ -81,6 +81,11 @@
   // ejection.
   bool WantsEjection() const;
   void Eject(TimePoint now);
+  // Takes an answered run into the target's slowness: its time as a multiple of
+  // what the service takes for a run of that kind.
+  void NoteRun(double multiple);
+  // Smoothed; 1 for a target as fast as the others.
+  double slowness() const { return slowness_; }
   // Smoothed latency, milliseconds.
   double latency_ms() const { return latency_ms_; }
 
@@ -112,6 +117,7 @@
   WarmUpLimiter warm_up_limiter_;
   RecentKeys recent_keys_;
   double latency_ms_ = 0;
+  double slowness_ = 1;
   std::map<std::string, PeerWork> peer_work_;
 };
 
