Borrowed shares are kept for half their lease; refused loans are counted

Change: a borrowed share goes back at half time instead of at once, which only saved messages when the next request came later.

--- a/src/budget/internal/lease_exchange.cc
+++ b/src/budget/internal/lease_exchange.cc
@@ -141,7 +141,9 @@
   const std::vector<ShareLease> borrowed = account.bucket.borrowed();
   for (const ShareLease& lease : borrowed) {
     const Member* const member = membership_->Find(lease.peer);
-    if (lease.share > surplus || member == nullptr) {
+    // Kept for half its time at the least: the next request may need it.
+    const bool young = lease.until - now > lease_duration_ / 2;
+    if (young || lease.share > surplus || member == nullptr) {
       continue;
     }
     surplus -= lease.share;
@@ -285,6 +287,10 @@
   }
   const TimePoint now = Clock::now();
   if (grant.lease_id == 0) {
+    metrics_
+        .Get("redwing_lease_refusals_total",
+             "Requests to lend a share that were refused, in messages")
+        .Add();
     found->second.refused_until[envelope.sender] = now + kRefusalTime;
     return;
   }
