Each target is led by one entry of its region; a key has one own target in each region

Ruled out: queueing at the entries (waits under 250 ms), processor time (3% of a core). The place is chosen by expected time (way, wait, warm or cold run), all learned. Waits end when an answer would be late; an entry refuses itself when no leader has a slot in time. The first seconds are cold, and bytes between regions are dearest.

--- a/src/admin/internal/admin_module.cc
+++ b/src/admin/internal/admin_module.cc
@@ -36,8 +36,9 @@
   server_ = std::make_unique<HttpServer>(kernel.io(), *sockets, *metrics,
                                          *handler_, HttpServerLimits());
   graceful_stop_ = std::make_unique<GracefulStop>(
-      kernel.io(), *server_, Milliseconds(0), kDrainLimit,
+      kernel.io(), Milliseconds(0), kDrainLimit,
       [&kernel]() { kernel.Stop(); });
+  graceful_stop_->AddServer(*server_);
 }
 
 void AdminModule::Start() {
--- a/src/delivery/internal/request_carrier.cc
+++ b/src/delivery/internal/request_carrier.cc
@@ -208,6 +208,9 @@
   while (true) {
     const Result<void> result = TryNext(delivery, yield);
     if (delivery.exhausted) {
+      if (delivery.chosen_target.empty()) {
+        last = result.error();
+      }
       break;
     }
     if (result && MayReplace(delivery)) {
@@ -235,6 +238,12 @@
   if (may_have_run && last.verdict == Verdict::kNotRun) {
     last.verdict = Verdict::kMayHaveRun;
   }
+  if (last.errc == Errc::kQueueFull && options_.led_targets &&
+      !delivery.context.forwarded()) {
+    last.retry_after =
+        RetryAfter(last.retry_after, delivery.context.deadline - Clock::now(),
+                   std::uniform_real_distribution<double>()(random_));
+  }
   return last;
 }
 
@@ -270,19 +279,19 @@
   wanted.may_run_in = [&context](const std::string& region) {
     return context.MayRunIn(region);
   };
-  const std::optional<Place> place =
-      delivery.refusals < kMaxPlaceRefusals
-          ? services_.placement->FindPlace(wanted)
-          : std::nullopt;
-  if (!place) {
+  wanted.max_wait = AllowedWait(WaitRequestOf(context));
+  const Result<Place> found = services_.placement->FindPlace(wanted);
+  if (!found || delivery.refusals >= kMaxPlaceRefusals) {
     delivery.exhausted = true;
-    return NotRun(Errc::kNoTarget, "no target is left");
+    return found ? NotRun(Errc::kQueueFull, "too many targets had no slot")
+                 : found.error();
   }
-  delivery.tried_targets.insert(place->target);
-  delivery.chosen_target = place->target;
-  const Result<void> result = place->leader.empty()
+  const Place& place = found.value();
+  delivery.tried_targets.insert(place.target);
+  delivery.chosen_target = place.target;
+  const Result<void> result = place.leader.empty()
                                   ? TryLocal(delivery, yield)
-                                  : TryLeader(delivery, *place, yield);
+                                  : TryLeader(delivery, place, yield);
   if (!result && Contains(kRefusedBeforeSending, result.error().errc)) {
     ++delivery.refusals;
   }
--- a/src/delivery/internal/wait_policy.cc
+++ b/src/delivery/internal/wait_policy.cc
@@ -8,6 +8,11 @@
 // Part of the target latency for which a late request may wait: enough to fill
 // slots that fall free, too little to stand before those in time.
 constexpr double kLateWaitPart = 0.25;
+// A caller that waits for longer than this part of its time has too little left
+// for the second try.
+constexpr double kUsefulPart = 1.0 / 3;
+constexpr double kMillisPerSecond = 1000;
+constexpr Milliseconds kLeastRetryAfter{20};
 }  // namespace
 
 Milliseconds AllowedWait(const WaitRequest& request) {
@@ -20,4 +25,11 @@
                   std::min(until_given_up, std::max(until_late, late_wait)));
 }
 
+Milliseconds RetryAfter(Milliseconds wait, Clock::duration left, double draw) {
+  const double latest = kUsefulPart * ToSeconds(left);
+  const double seconds = std::min(latest, ToSeconds(wait) * (1 + draw));
+  return std::max(kLeastRetryAfter,
+                  Milliseconds(static_cast<int64_t>(seconds * kMillisPerSecond)));
+}
+
 }  // namespace redwing
--- a/src/delivery/internal/wait_policy.h
+++ b/src/delivery/internal/wait_policy.h
@@ -22,6 +22,12 @@
 // soon free. Zero: it takes a slot now or none.
 Milliseconds AllowedWait(const WaitRequest& request);
 
+// Returns when a caller that was refused is to come back: after the wait for a
+// slot and up to once as long again, so that refused callers do not come back
+// together, but soon enough for an answer in time. `left`: until it gives up;
+// `draw`: between 0 and 1.
+Milliseconds RetryAfter(Milliseconds wait, Clock::duration left, double draw);
+
 }  // namespace redwing
 
 #endif  // REDWING_DELIVERY_INTERNAL_WAIT_POLICY_H_
--- a/src/routing/internal/led_placement.cc
+++ b/src/routing/internal/led_placement.cc
@@ -21,6 +21,17 @@
 // Multiple of its service's times from which a target counts as slow.
 constexpr double kNoticedSlowness = 1.6;
 constexpr double kPercent = 100;
+// How soon a caller may find a target that takes work again.
+constexpr Milliseconds kNoTargetRetry{1'000};
+
+Milliseconds ShortestWait(const std::vector<PlaceCandidate>& candidates) {
+  const auto first = std::min_element(
+      candidates.begin(), candidates.end(),
+      [](const PlaceCandidate& a, const PlaceCandidate& b) {
+        return a.wait < b.wait;
+      });
+  return Milliseconds(static_cast<int64_t>(first->wait));
+}
 }  // namespace
 
 LedPlacement::LedPlacement(std::shared_ptr<Identity> identity,
@@ -43,23 +54,25 @@
       });
 }
 
-std::optional<Place> LedPlacement::FindPlace(const PlaceRequest& request) {
+Result<Place> LedPlacement::FindPlace(const PlaceRequest& request) {
   const std::shared_ptr<const SteeringDocument> document = config_->document();
   const Service* const service = document->FindService(request.service);
   if (service == nullptr) {
-    return std::nullopt;
+    return NotRun(Errc::kNoTarget, "the service does not exist", kNoTargetRetry);
   }
   const ServiceTimes times = router_->TimesOf(request.service);
   std::vector<PlaceCandidate> candidates;
   std::vector<const Target*> targets;
   const uint64_t key_hash = Hash64(request.affinity_key);
+  std::map<std::string, size_t> regions = {{identity_->region, 0}};
   for (const Target& target : service->targets) {
     if (router_->IsClosed(target) || !request.may_run_in(target.region)) {
       continue;
     }
     const std::string& leader = leaders_.LeaderOf(target);
     PlaceCandidate candidate;
-    candidate.near = target.region == identity_->region;
+    candidate.region =
+        regions.emplace(target.region, regions.size()).first->second;
     candidate.score = Hash64(request.affinity_key + "/" + target.name);
     const auto visited = visited_.find(target.name);
     candidate.visited =
@@ -72,15 +85,21 @@
     targets.push_back(&target);
   }
   if (candidates.empty()) {
-    return std::nullopt;
+    return NotRun(Errc::kNoTarget, "no target takes work", kNoTargetRetry);
+  }
+  const std::optional<size_t> best =
+      ChoosePlace(times, static_cast<double>(request.max_wait.count()),
+                  &candidates);
+  if (!best) {
+    return NotRun(Errc::kQueueFull, "no target has a slot in time",
+                  ShortestWait(candidates));
   }
-  const size_t best = ChoosePlace(times, &candidates);
-  const Target& target = *targets[best];
+  const Target& target = *targets[*best];
   const std::string& leader = leaders_.LeaderOf(target);
   visited_[target.name].Add(key_hash);
   return Place{target.name, target.region,
                leader == identity_->name ? "" : leader,
-               Milliseconds(static_cast<int64_t>(candidates[best].expected))};
+               Milliseconds(static_cast<int64_t>(candidates[*best].expected))};
 }
 
 void LedPlacement::BeginForward(const Place& place) {
--- a/src/routing/internal/led_placement.h
+++ b/src/routing/internal/led_placement.h
@@ -29,7 +29,7 @@
                std::shared_ptr<SteeringConfig> config,
                std::shared_ptr<LocalTargetRouter> router);
 
-  std::optional<Place> FindPlace(const PlaceRequest& request) override;
+  Result<Place> FindPlace(const PlaceRequest& request) override;
   void BeginForward(const Place& place) override;
   void EndForward(const Place& place,
                   std::optional<Milliseconds> round_trip) override;
--- a/src/routing/internal/place_choice.cc
+++ b/src/routing/internal/place_choice.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <set>
 
 namespace redwing {
 
@@ -15,28 +16,35 @@
 
 }  // namespace
 
-size_t ChoosePlace(const ServiceTimes& times,
-                   std::vector<PlaceCandidate>* candidates) {
+std::optional<size_t> ChoosePlace(const ServiceTimes& times,
+                                  double max_wait,
+                                  std::vector<PlaceCandidate>* candidates) {
   std::vector<size_t> order(candidates->size());
   std::iota(order.begin(), order.end(), size_t{0});
   std::sort(order.begin(), order.end(), [candidates](size_t a, size_t b) {
     return (*candidates)[a].score > (*candidates)[b].score;
   });
-  bool own_seen = false;
-  size_t best = order.front();
+  std::set<size_t> regions_seen;
+  std::optional<size_t> best;
   double best_cost = 0;
   for (const size_t index : order) {
     PlaceCandidate& candidate = (*candidates)[index];
-    const bool own = candidate.near && !own_seen;
-    own_seen = own_seen || candidate.near;
-    const bool warm = own || candidate.visited;
+    const bool is_near = candidate.region == 0;
+    const bool own = regions_seen.insert(candidate.region).second;
+    const bool warm = (own && is_near) || candidate.visited;
     const double warm_run = times.warm_ms() * candidate.slowness;
     const double extra =
         warm ? 0 : (times.cold_ms() - times.warm_ms()) * candidate.slowness;
-    candidate.expected =
-        candidate.travel + WaitAt(candidate, warm_run) + warm_run + extra;
+    candidate.wait = WaitAt(candidate, warm_run);
+    candidate.expected = candidate.travel + candidate.wait + warm_run + extra;
     const double cost = candidate.expected + (kColdWeight - 1) * extra;
-    if (index == order.front() || cost < best_cost) {
+    const bool allowed = own || (is_near && candidate.wait <= 0);
+    // The way there takes its time as well.
+    if (!allowed ||
+        candidate.wait > std::max(0.0, max_wait - candidate.travel)) {
+      continue;
+    }
+    if (!best || cost < best_cost) {
       best = index;
       best_cost = cost;
     }
--- a/src/routing/place_choice.h
+++ b/src/routing/place_choice.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "routing/service_times.h"
@@ -20,11 +21,13 @@
   double travel = 0;
   // Rendezvous score of target and affinity key.
   uint64_t score = 0;
-  // In the region of the request's entry, where the key's own target is.
-  bool near = false;
+  // Region, as a number; 0 is that of the request's entry.
+  size_t region = 0;
   // The key was sent there lately.
   bool visited = false;
-  // Filled by ChoosePlace(): time until the answer, in milliseconds.
+  // Filled by ChoosePlace(): time until a slot is free and until the answer, in
+  // milliseconds.
+  double wait = 0;
   double expected = 0;
 };
 
@@ -32,10 +35,17 @@
 // many times.
 inline constexpr double kColdWeight = 2;
 
-// Returns the candidate whose answer is expected first; of equal ones the one
-// with the highest score. `candidates` must not be empty.
-size_t ChoosePlace(const ServiceTimes& times,
-                   std::vector<PlaceCandidate>* candidates);
+// A key has one own target in each region: the one with the highest score. It
+// goes to another target of the entry's region only where a slot is free, and
+// to no other one elsewhere: under load, keys that wander turn targets cold and
+// cost more slots than they find.
+//
+// Returns the index of the candidate whose answer is expected first, of those
+// with a slot within `max_wait` milliseconds; of equal ones the one with the
+// highest score. Nothing when no candidate has a slot by then.
+std::optional<size_t> ChoosePlace(const ServiceTimes& times,
+                                  double max_wait,
+                                  std::vector<PlaceCandidate>* candidates);
 
 }  // namespace redwing
 
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "framework/errors/result.h"
 #include "routing/place.h"
 
 namespace redwing {
@@ -17,6 +18,8 @@
   // Requests with the same key go to the same few targets.
   std::string affinity_key;
   std::set<std::string> tried_targets;
+  // For how long it may wait for a slot.
+  Milliseconds max_wait{0};
   // Tells whether the request may run in a region.
   std::function<bool(const std::string&)> may_run_in;
 };
@@ -29,9 +32,10 @@
 
   virtual ~Placement() = default;
 
-  // Returns the place from which the answer is expected first; nothing when
-  // none is left.
-  virtual std::optional<Place> FindPlace(const PlaceRequest& request) = 0;
+  // Returns the place from which the answer is expected first, of those with a
+  // slot in time. Fails with kNoTarget when no target is left, and with
+  // kQueueFull, and the shortest wait, when none has a slot in time.
+  virtual Result<Place> FindPlace(const PlaceRequest& request) = 0;
 
   // Tells of requests handed to other entries for a target.
   virtual void BeginForward(const Place& place) = 0;
--- a/src/steering/route.h
+++ b/src/steering/route.h
@@ -35,7 +35,7 @@
   // room.
   bool affinity = false;
   // Regions in which requests may run; empty means all.
-  std::vector<std::string> home_regions;
+  std::vector<std::string> home_regions = {};
 };
 
 }  // namespace redwing
