--- a/src/keys/tests/key_ring_test.cc
+++ b/src/keys/tests/key_ring_test.cc
@@ -38,5 +38,20 @@
   CHECK(a.withdrawn_hash() == b.withdrawn_hash());
 }
 
+TEST_CASE("a key that was issued elsewhere is found by its digest") {
+  KeyRing ring;
+  KeyRecord record;
+  record.id = OpaqueKeyId("tnfzs989anu6");
+  record.workspace = "w";
+  ring.SetShard("keys.x", {record});
+  REQUIRE(ring.Check("tnfzs989anu6"));
+  CHECK(ring.Check("tnfzs989anu6").value()->workspace == "w");
+  CHECK_FALSE(ring.Check("tnfzs989anu7"));
+  // The id, which may be logged, is not a key.
+  CHECK_FALSE(ring.Check(record.id));
+  ring.SetShard("keys.x", {});
+  CHECK_FALSE(ring.Check("tnfzs989anu6"));
+}
+
 }  // namespace
 }  // namespace redwing
--- a/src/steering/tests/steering_document_test.cc
+++ b/src/steering/tests/steering_document_test.cc
@@ -80,5 +80,69 @@
   CHECK(known);
 }
 
+constexpr std::string_view kHostRoutes = R"({"sections": {"n": {"team": "t",
+  "regions": [{"name": "r", "failure_domains": ["d"], "rate_per_s": 0,
+    "burst": 0}],
+  "services": [{"name": "a", "discovered": true},
+               {"name": "b", "discovered": true}],
+  "host_routes": [
+    {"name": "all", "host": "Shop.example", "path_prefix": "/",
+     "services": [{"service": "a"}]},
+    {"name": "split", "host": "shop.example", "path_prefix": "/x/",
+     "services": [{"service": "a", "weight": 90},
+                  {"service": "b", "weight": 10}]}]}}})";
+
+Result<std::vector<Section>> Sections(std::string_view text) {
+  const Result<JsonSource> source = JsonSource::Parse(text, "test");
+  REQUIRE(source);
+  return ParseSections(source.value());
+}
+
+TEST_CASE("host and longest path prefix select a route") {
+  const Result<std::vector<Section>> sections = Sections(kHostRoutes);
+  REQUIRE(sections);
+  CHECK(FindDocumentProblems(sections.value()).empty());
+  const SteeringDocument document(sections.value());
+  CHECK(document.FindHostRoute("SHOP.example", "/x/1")->route.name == "split");
+  CHECK(document.FindHostRoute("shop.example", "/x")->route.name == "all");
+  CHECK(document.FindHostRoute("shop.example", "/xy/")->route.name == "all");
+  CHECK(document.FindHostRoute("other.example", "/") == nullptr);
+  CHECK(document.FindHostRouteByName("split") != nullptr);
+}
+
+TEST_CASE("a split follows its weights") {
+  const Result<std::vector<Section>> sections = Sections(kHostRoutes);
+  REQUIRE(sections);
+  const HostRoute& split = sections.value()[0].host_routes[1];
+  constexpr int kDraws = 1000;
+  int to_b = 0;
+  for (int i = 0; i < kDraws; ++i) {
+    to_b += split.ServiceAt((i + 0.5) / kDraws) == "b" ? 1 : 0;
+  }
+  CHECK(to_b == 100);
+  CHECK(split.ServiceAt(1) == "b");
+}
+
+TEST_CASE("routes to services that do not exist are a problem") {
+  std::string text(kHostRoutes);
+  text.replace(text.find("\"service\": \"b\""), 14, "\"service\": \"c\"");
+  const Result<std::vector<Section>> sections = Sections(text);
+  REQUIRE(sections);
+  CHECK_FALSE(FindDocumentProblems(sections.value()).empty());
+}
+
+TEST_CASE("discovered targets join the services that ask for them") {
+  const Result<std::vector<Section>> sections = Sections(kHostRoutes);
+  REQUIRE(sections);
+  const SteeringDocument document(sections.value());
+  Target target;
+  target.name = "i-1";
+  const SteeringDocument joined =
+      document.WithTargets({{"a", {target}}, {"unknown", {target}}});
+  CHECK(joined.FindService("a")->targets.size() == 1);
+  CHECK(joined.FindService("b")->targets.empty());
+  CHECK(joined.FindService("unknown") == nullptr);
+}
+
 }  // namespace
 }  // namespace redwing
