--- a/src/routing/tests/placement_load_test.cc
+++ b/src/routing/tests/placement_load_test.cc
@@ -2,10 +2,11 @@
 // that targets keep warm, and the requests are chosen for as entries do it.
 
 #include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
-#include <map>
+#include <deque>
 #include <random>
-#include <set>
+#include <vector>
 
 #include "framework/wire/digest.h"
 #include "routing/place_choice.h"
@@ -15,7 +16,9 @@
 
 constexpr int kTargets = 4;
 constexpr int kSlots = 3;
-constexpr int kObjects = 24;
+// More than one target keeps warm, fewer than all of them do.
+constexpr int kObjects = 60;
+constexpr size_t kKeptWarm = 25;
 constexpr double kWarmMs = 190;
 constexpr double kColdMs = 640;
 constexpr double kAimMs = 500;
@@ -24,9 +27,34 @@
 constexpr double kSettledMs = 10'000;
 
 struct ModelTarget {
-  // End of each run, or of the last one that was promised the slot.
+  // When each slot is free of all that it was promised to.
   std::array<double, kSlots> busy_until{};
-  std::set<int> warm;
+  // Ends of all runs that have not ended, those that wait included.
+  std::vector<double> ends;
+  // Objects it keeps, the latest last.
+  std::deque<int> warm;
+
+  // Requests that run or wait.
+  double Work(double now) {
+    ends.erase(std::remove_if(ends.begin(), ends.end(),
+                              [now](double end) { return end <= now; }),
+               ends.end());
+    return static_cast<double>(ends.size());
+  }
+
+  // Handles an object; returns whether it was kept.
+  bool Handle(int object) {
+    const auto known = std::find(warm.begin(), warm.end(), object);
+    const bool kept = known != warm.end();
+    if (kept) {
+      warm.erase(known);
+    }
+    warm.push_back(object);
+    if (warm.size() > kKeptWarm) {
+      warm.pop_front();
+    }
+    return kept;
+  }
 };
 
 struct Outcome {
@@ -72,11 +100,7 @@
     for (size_t i = 0; i < list.size(); ++i) {
       list[i].slots = kSlots;
       list[i].score = Hash64(std::to_string(key) + "/" + std::to_string(i));
-      list[i].visited = targets[i].warm.count(key) > 0;
-      for (const double until : targets[i].busy_until) {
-        // A slot that is promised beyond one run has requests waiting.
-        list[i].work += std::ceil(std::max(0.0, until - now) / kColdMs);
-      }
+      list[i].work = targets[i].Work(now);
     }
     const bool counted = now > kSettledMs;
     outcome.asked += counted ? 1 : 0;
@@ -88,9 +112,10 @@
     ModelTarget& target = targets[*chosen];
     double& slot =
         *std::min_element(target.busy_until.begin(), target.busy_until.end());
-    const bool warm = !target.warm.insert(key).second;
+    const bool warm = target.Handle(key);
     const double run = warm ? kWarmMs : kColdMs;
     slot = std::max(slot, now) + run;
+    target.ends.push_back(slot);
     times.Learn(warm, Milliseconds(static_cast<int64_t>(run)));
     outcome.cold += counted && !warm ? 1 : 0;
     outcome.in_time += counted && slot - now <= kAimMs ? 1 : 0;
