--- a/apps/redwing_admin.cc
+++ b/apps/redwing_admin.cc
@@ -16,7 +16,7 @@
 void AddModules(Kernel& kernel, const AdminSettings& settings) {
   kernel.AddModule(std::make_unique<CoreModule>(settings.source_address));
   kernel.AddModule(std::make_unique<StoreModule>(settings.platform_address,
-                                                    settings.platform_timeout));
+                                                 settings.platform_timeout));
   kernel.AddModule(std::make_unique<AdminModule>(settings));
 }
 
--- a/apps/redwing_entry.cc
+++ b/apps/redwing_entry.cc
@@ -9,8 +9,8 @@
 #include "framework/peer/peer_module.h"
 #include "framework/wire/digest.h"
 #include "membership/membership_module.h"
-#include "store/store_module.h"
 #include "routing/routing_module.h"
+#include "store/store_module.h"
 
 namespace redwing {
 
@@ -44,7 +44,7 @@
   kernel.AddModule(std::make_unique<PeerModule>(
       settings.instance, settings.peer_listen, settings.fleet_secrets));
   kernel.AddModule(std::make_unique<StoreModule>(settings.platform_address,
-                                                    settings.platform_timeout));
+                                                 settings.platform_timeout));
   kernel.AddModule(
       std::make_unique<MembershipModule>(identity, membership, settings.seeds));
   ConfigOptions config;
--- a/src/budget/internal/share_budgets.cc
+++ b/src/budget/internal/share_budgets.cc
@@ -188,9 +188,8 @@
 
 void ShareBudgets::ApplyDocument() {
   const TimePoint now = Clock::now();
-  for (const BudgetSpec& spec :
-       SpecsOf(*config_->document(), identity_->region,
-               options_.burst_tolerance)) {
+  for (const BudgetSpec& spec : SpecsOf(*config_->document(), identity_->region,
+                                        options_.burst_tolerance)) {
     const auto account = accounts_.find(spec.name);
     if (account == accounts_.end()) {
       accounts_.emplace(std::piecewise_construct,
--- a/src/config/internal/config_module.cc
+++ b/src/config/internal/config_module.cc
@@ -35,9 +35,8 @@
         kernel.io(), state_, kernel.Find<Identity>(), options_);
     feed_ = source_feed_;
   }
-  sync_ =
-      std::make_shared<PeerSync>(kernel.io(), *metrics, state_, keys,
-                                 kernel.Find<Identity>(), feed_);
+  sync_ = std::make_shared<PeerSync>(kernel.io(), *metrics, state_, keys,
+                                     kernel.Find<Identity>(), feed_);
   kernel.Register(keys);
   kernel.Register(state_);
   kernel.Register<SteeringConfig>(config_);
--- a/src/config/internal/document_config.cc
+++ b/src/config/internal/document_config.cc
@@ -79,18 +79,19 @@
     target.warm_up_left = instance.warm_up_left;
     targets[instance.service].push_back(std::move(target));
   }
-  document_ = targets.empty() ? written_
-                              : std::make_shared<SteeringDocument>(
-                                    written_->WithTargets(targets));
+  document_ =
+      targets.empty()
+          ? written_
+          : std::make_shared<SteeringDocument>(written_->WithTargets(targets));
 }
 
 void DocumentConfig::ApplySection(const StateEntry& entry) {
-  Result<Section> section = ParseSection(
-      entry.name.substr(kSectionPrefix.size()), entry.body);
+  Result<Section> section =
+      ParseSection(entry.name.substr(kSectionPrefix.size()), entry.body);
   if (!section) {
     // What was in force stays in force.
-    spdlog::error("{} revision {} is not valid: {}", entry.name,
-                  entry.revision, section.error().detail);
+    spdlog::error("{} revision {} is not valid: {}", entry.name, entry.revision,
+                  section.error().detail);
     return;
   }
   sections_.insert_or_assign(entry.name, std::move(section.value()));
--- a/src/config/steering_config.h
+++ b/src/config/steering_config.h
@@ -6,8 +6,8 @@
 
 #include "config/drains.h"
 #include "framework/kernel/channel.h"
-#include "store/instance_directory.h"
 #include "steering/steering_document.h"
+#include "store/instance_directory.h"
 
 namespace redwing {
 
--- a/src/delivery/internal/delivery_module.cc
+++ b/src/delivery/internal/delivery_module.cc
@@ -10,10 +10,10 @@
 #include "keys/key_ring.h"
 #include "membership/identity.h"
 #include "membership/membership.h"
-#include "store/object_store.h"
 #include "routing/entry_lookup.h"
 #include "routing/placement.h"
 #include "routing/target_router.h"
+#include "store/object_store.h"
 
 namespace redwing {
 
--- a/src/delivery/internal/hop_token.h
+++ b/src/delivery/internal/hop_token.h
@@ -37,8 +37,8 @@
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(to_process, from_region, workspace, key_id, request_id,
-            request_line, host_route, service, target,
-            wanted_target, age_ms, attempts, remaining_ms, owner_hop);
+            request_line, host_route, service, target, wanted_target, age_ms,
+            attempts, remaining_ms, owner_hop);
   }
 };
 
--- a/src/delivery/internal/request_admitter.cc
+++ b/src/delivery/internal/request_admitter.cc
@@ -74,19 +74,18 @@
   if (!token) {
     return token.error();
   }
-  const Result<void> routed =
-      by_host ? FindHostRoute(exchange, point, &context)
-      : !token.value().host_route.empty()
-          ? FindForwardedRoute(token.value(), &context)
-          : FindRoute(exchange, *url, &context);
+  const Result<void> routed = by_host ? FindHostRoute(exchange, point, &context)
+                              : !token.value().host_route.empty()
+                                  ? FindForwardedRoute(token.value(), &context)
+                                  : FindRoute(exchange, *url, &context);
   if (!routed) {
     return routed.error();
   }
   SetDeadline(exchange, &context);
-  const Result<void> checked =
-      hop       ? CheckHop(exchange, token.value(), &context)
-      : by_host ? CheckHostCaller(exchange, &context)
-                : CheckCaller(exchange, *url, &context);
+  const Result<void> checked = hop ? CheckHop(exchange, token.value(), &context)
+                               : by_host
+                                   ? CheckHostCaller(exchange, &context)
+                                   : CheckCaller(exchange, *url, &context);
   if (!checked) {
     return checked.error();
   }
@@ -137,8 +136,8 @@
                                             RequestContext* context) const {
   const std::string_view target = exchange.target();
   const std::string_view path = target.substr(0, target.find('?'));
-  const std::string_view host = WithoutPort(StdView(
-      exchange.request()[http::field::host]));
+  const std::string_view host =
+      WithoutPort(StdView(exchange.request()[http::field::host]));
   const HostRoute* const found = context->document->FindHostRoute(host, path);
   if (found == nullptr) {
     return NotRun(Errc::kUnknownRoute,
@@ -161,7 +160,8 @@
 Result<void> RequestAdmitter::FindForwardedRoute(
     const HopToken& token,
     RequestContext* context) const {
-  context->host_route = context->document->FindHostRouteByName(token.host_route);
+  context->host_route =
+      context->document->FindHostRouteByName(token.host_route);
   context->service = context->document->FindService(token.service);
   if (context->host_route == nullptr || context->service == nullptr) {
     // The forwarding entry has another revision of the configuration.
--- a/src/delivery/internal/request_carrier.cc
+++ b/src/delivery/internal/request_carrier.cc
@@ -19,8 +19,8 @@
 #include "keys/key_ring.h"
 #include "membership/identity.h"
 #include "membership/membership.h"
-#include "routing/placement.h"
 #include "routing/key_prefix.h"
+#include "routing/placement.h"
 #include "routing/target_router.h"
 
 namespace redwing {
@@ -188,8 +188,7 @@
   delivery.collect =
       options_.hold_answers && exchange.request().method() != http::verb::head;
   if (body.whole()) {
-    exchange.WatchCaller(
-        [&delivery]() { delivery.cancellation.Cancel(); });
+    exchange.WatchCaller([&delivery]() { delivery.cancellation.Cancel(); });
   }
   const Result<void> result = Deliver(delivery, yield);
   exchange.EndWatch();
@@ -271,10 +270,9 @@
   }
   PlaceRequest wanted;
   wanted.service = context.service->name;
-  wanted.affinity_key =
-      context.route->affinity && !context.affinity_key.empty()
-          ? context.affinity_key
-          : context.request_id;
+  wanted.affinity_key = context.route->affinity && !context.affinity_key.empty()
+                            ? context.affinity_key
+                            : context.request_id;
   wanted.tried_targets = delivery.tried_targets;
   wanted.may_run_in = [&context](const std::string& region) {
     return context.MayRunIn(region);
@@ -354,10 +352,9 @@
   const std::string& own = services_.identity->region;
   const std::string& service = context.service->name;
   const bool own_allowed = context.MayRunIn(own);
-  const bool own_left =
-      own_allowed && delivery.tried_regions.count(own) == 0;
-  if (own_left && (!context.may_forward() ||
-                   services_.router->HasUsableTarget(service))) {
+  const bool own_left = own_allowed && delivery.tried_regions.count(own) == 0;
+  if (own_left &&
+      (!context.may_forward() || services_.router->HasUsableTarget(service))) {
     return own;
   }
   if (!context.may_forward()) {
@@ -432,8 +429,8 @@
     plan.header.set(BeastView(options_.dialect.target_instance), target.name);
   }
   plan.response_prepaid = ResponseEstimate(context);
-  UpstreamAttempt attempt(pool_, *services_.budgets, metrics_,
-                          options_.dialect, std::move(plan));
+  UpstreamAttempt attempt(pool_, *services_.budgets, metrics_, options_.dialect,
+                          std::move(plan));
   const TimePoint begun = Clock::now();
   const Result<void> result = attempt.Run(delivery.body, delivery.exchange,
                                           delivery.cancellation, yield);
@@ -562,8 +559,8 @@
   plan.header.target(target);
   plan.header.set(BeastView(kHopField), signer_.Sign(token));
   plan.to_entry = true;
-  UpstreamAttempt attempt(pool_, *services_.budgets, metrics_,
-                          options_.dialect, std::move(plan));
+  UpstreamAttempt attempt(pool_, *services_.budgets, metrics_, options_.dialect,
+                          std::move(plan));
   const Result<void> result = attempt.Run(delivery.body, delivery.exchange,
                                           delivery.cancellation, yield);
   delivery.connect_time = attempt.connect_time();
@@ -757,6 +754,12 @@
 
 void RequestCarrier::CountOutcome(const RequestContext& context,
                                   const Failure* failure) {
+  metrics_
+      .Durations(
+          failure == nullptr ? "redwing_answered_ms" : "redwing_failed_ms",
+          "From the request's arrival to its end, in milliseconds")
+      .Record(std::chrono::duration_cast<Milliseconds>(Clock::now() -
+                                                       context.begun));
   if (failure == nullptr) {
     metrics_
         .Get("redwing_carried_total", "Requests carried, in requests",
--- a/src/delivery/internal/upstream_attempt.h
+++ b/src/delivery/internal/upstream_attempt.h
@@ -8,10 +8,10 @@
 
 #include "delivery/header_dialect.h"
 #include "delivery/internal/idempotency_table.h"
-#include "routing/target_load.h"
 #include "framework/errors/result.h"
 #include "framework/http/connection_pool.h"
 #include "framework/http/http_types.h"
+#include "routing/target_load.h"
 
 namespace redwing {
 
@@ -56,9 +56,10 @@
         dialect_(dialect),
         plan_(std::move(plan)) {}
 
-  // Runs the attempt, which ends early when it is cancelled. Success means that the answer went to the caller, whole
-  // or visibly broken off; or, with plan.collect, that answer() holds it. A
-  // failure means that nothing of an answer was sent.
+  // Runs the attempt, which ends early when it is cancelled. Success means that
+  // the answer went to the caller, whole or visibly broken off; or, with
+  // plan.collect, that answer() holds it. A failure means that nothing of an
+  // answer was sent.
   Result<void> Run(RequestBody& body,
                    HttpExchange& exchange,
                    Cancellation& cancellation,
--- a/src/delivery/internal/wait_policy.cc
+++ b/src/delivery/internal/wait_policy.cc
@@ -28,8 +28,9 @@
 Milliseconds RetryAfter(Milliseconds wait, Clock::duration left, double draw) {
   const double latest = kUsefulPart * ToSeconds(left);
   const double seconds = std::min(latest, ToSeconds(wait) * (1 + draw));
-  return std::max(kLeastRetryAfter,
-                  Milliseconds(static_cast<int64_t>(seconds * kMillisPerSecond)));
+  return std::max(
+      kLeastRetryAfter,
+      Milliseconds(static_cast<int64_t>(seconds * kMillisPerSecond)));
 }
 
 }  // namespace redwing
--- a/src/entry/internal/entry_handler.cc
+++ b/src/entry/internal/entry_handler.cc
@@ -12,6 +12,7 @@
 #include "delivery/request_handler.h"
 #include "entry/internal_call.h"
 #include "framework/http/http_exchange.h"
+#include "framework/http/metrics_handler.h"
 #include "framework/http/refusal.h"
 #include "framework/http/url.h"
 #include "framework/kernel/sleep.h"
@@ -29,7 +30,6 @@
 using nlohmann::json;
 
 constexpr std::string_view kJson = "application/json";
-constexpr std::string_view kPrometheus = "text/plain; version=0.0.4";
 constexpr Milliseconds kWithdrawWait{3000};
 constexpr Milliseconds kWithdrawPoll{20};
 
@@ -237,8 +237,7 @@
 void EntryHandler::ShowMetrics(HttpExchange& exchange,
                                const Url& /*url*/,
                                const Yield& yield) {
-  exchange.Respond(200, kPrometheus, services_.metrics->PrometheusText(),
-                   yield);
+  MetricsHandler(services_.metrics).Handle(exchange, yield);
 }
 
 void EntryHandler::Status(HttpExchange& exchange,
--- a/src/framework/http/internal/http_server.cc
+++ b/src/framework/http/internal/http_server.cc
@@ -67,8 +67,7 @@
         }
         if (ec) {
           // Out of descriptors, most likely: give running work time to end.
-          const std::shared_ptr<Timer> timer =
-              std::make_shared<Timer>(io_);
+          const std::shared_ptr<Timer> timer = std::make_shared<Timer>(io_);
           timer->expires_after(kAcceptRetry);
           timer->async_wait(
               [this, timer](const boost::system::error_code& timer_ec) {
--- a/src/framework/metrics/internal/metrics.cc
+++ b/src/framework/metrics/internal/metrics.cc
@@ -49,8 +49,28 @@
   return family->second.series[RenderLabels(labels)];
 }
 
+void Histogram::Record(std::chrono::milliseconds duration) {
+  const int64_t ms = duration.count();
+  sum_ms_ += ms;
+  for (size_t i = 0; i < kBoundsMs.size(); ++i) {
+    counts_[i] += ms <= kBoundsMs[i] ? 1 : 0;
+  }
+  ++counts_.back();
+}
+
+Histogram& Metrics::Durations(std::string_view name, std::string_view help) {
+  auto family = durations_.find(name);
+  if (family == durations_.end()) {
+    family =
+        durations_
+            .emplace(std::string(name), DurationFamily{std::string(help), {}})
+            .first;
+  }
+  return family->second.histogram;
+}
+
 std::string Metrics::PrometheusText() const {
-  std::string text;
+  std::string text = DurationsText();
   for (const auto& [name, family] : families_) {
     fmt::format_to(std::back_inserter(text), "# HELP {} {}\n# TYPE {} {}\n",
                    name, family.help, name,
@@ -63,6 +83,24 @@
   return text;
 }
 
+std::string Metrics::DurationsText() const {
+  std::string text;
+  for (const auto& [name, family] : durations_) {
+    fmt::format_to(std::back_inserter(text),
+                   "# HELP {0} {1}\n# TYPE {0} histogram\n", name, family.help);
+    const Histogram& histogram = family.histogram;
+    for (size_t i = 0; i < Histogram::kBoundsMs.size(); ++i) {
+      fmt::format_to(std::back_inserter(text), "{}_bucket{{le=\"{}\"}} {}\n",
+                     name, Histogram::kBoundsMs[i], histogram.counts()[i]);
+    }
+    fmt::format_to(std::back_inserter(text),
+                   "{0}_bucket{{le=\"+Inf\"}} {1}\n{0}_sum {2}\n"
+                   "{0}_count {1}\n",
+                   name, histogram.counts().back(), histogram.sum_ms());
+  }
+  return text;
+}
+
 std::string Metrics::LogLine() const {
   std::string text;
   for (const auto& [name, family] : families_) {
--- a/src/framework/metrics/metrics.h
+++ b/src/framework/metrics/metrics.h
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "framework/metrics/counter.h"
+#include "framework/metrics/histogram.h"
 
 namespace redwing {
 
@@ -34,19 +35,30 @@
     return Get(name, help, labels, MetricKind::kGauge);
   }
 
+  // Returns the histogram of durations with this name, created on first use.
+  Histogram& Durations(std::string_view name, std::string_view help);
+
   // Renders all metrics.
   std::string PrometheusText() const;
   // Renders the counters that are not zero as one line for the log.
   std::string LogLine() const;
 
  private:
+  std::string DurationsText() const;
+
   struct Family {
     std::string help;
     MetricKind kind;
     std::map<std::string, Counter> series;
   };
 
+  struct DurationFamily {
+    std::string help;
+    Histogram histogram;
+  };
+
   std::map<std::string, Family, std::less<>> families_;
+  std::map<std::string, DurationFamily, std::less<>> durations_;
 };
 
 }  // namespace redwing
--- a/src/membership/heartbeat.h
+++ b/src/membership/heartbeat.h
@@ -62,8 +62,8 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(identity, leaving, ready, beat, echoed_beat, incarnation_seen, state_digest,
-            withdrawn_hash, load_permille, key_epoch, work);
+    archive(identity, leaving, ready, beat, echoed_beat, incarnation_seen,
+            state_digest, withdrawn_hash, load_permille, key_epoch, work);
   }
 };
 
--- a/src/membership/internal/heartbeat_membership.cc
+++ b/src/membership/internal/heartbeat_membership.cc
@@ -232,9 +232,9 @@
   const Heartbeat& heartbeat = decoded.value();
   transport_->RaiseIncarnation(heartbeat.incarnation_seen);
   const auto known = members_.find(envelope.sender);
-  const bool identified = known != members_.end() &&
-                          known->second.incarnation_seen ==
-                              envelope.incarnation;
+  const bool identified =
+      known != members_.end() &&
+      known->second.incarnation_seen == envelope.incarnation;
   if (heartbeat.identity.empty() && !identified) {
     // It takes us for a process that knew it: the next beat tells it otherwise.
     return;
@@ -290,9 +290,9 @@
 }
 
 SenderIdentity HeartbeatMembership::OwnIdentity() const {
-  return {identity_->region,         identity_->failure_domain,
-          identity_->http_address,   identity_->caller_address,
-          identity_->peer_address,   identity_->process_id};
+  return {identity_->region,       identity_->failure_domain,
+          identity_->http_address, identity_->caller_address,
+          identity_->peer_address, identity_->process_id};
 }
 
 Heartbeat HeartbeatMembership::MakeHeartbeat() {
--- a/src/routing/internal/led_placement.cc
+++ b/src/routing/internal/led_placement.cc
@@ -25,11 +25,11 @@
 constexpr Milliseconds kNoTargetRetry{1'000};
 
 Milliseconds ShortestWait(const std::vector<PlaceCandidate>& candidates) {
-  const auto first = std::min_element(
-      candidates.begin(), candidates.end(),
-      [](const PlaceCandidate& a, const PlaceCandidate& b) {
-        return a.wait < b.wait;
-      });
+  const auto first =
+      std::min_element(candidates.begin(), candidates.end(),
+                       [](const PlaceCandidate& a, const PlaceCandidate& b) {
+                         return a.wait < b.wait;
+                       });
   return Milliseconds(static_cast<int64_t>(first->wait));
 }
 }  // namespace
@@ -58,7 +58,8 @@
   const std::shared_ptr<const SteeringDocument> document = config_->document();
   const Service* const service = document->FindService(request.service);
   if (service == nullptr) {
-    return NotRun(Errc::kNoTarget, "the service does not exist", kNoTargetRetry);
+    return NotRun(Errc::kNoTarget, "the service does not exist",
+                  kNoTargetRetry);
   }
   const ServiceTimes times = router_->TimesOf(request.service);
   std::vector<PlaceCandidate> candidates;
@@ -87,9 +88,8 @@
   if (candidates.empty()) {
     return NotRun(Errc::kNoTarget, "no target takes work", kNoTargetRetry);
   }
-  const std::optional<size_t> best =
-      ChoosePlace(times, static_cast<double>(request.max_wait.count()),
-                  &candidates);
+  const std::optional<size_t> best = ChoosePlace(
+      times, static_cast<double>(request.max_wait.count()), &candidates);
   if (!best) {
     return NotRun(Errc::kQueueFull, "no target has a slot in time",
                   ShortestWait(candidates));
@@ -124,10 +124,9 @@
                                 const Heartbeat& heartbeat) {
   const TimePoint now = Clock::now();
   for (const TargetWork& work : heartbeat.work) {
-    reports_[work.target_hash] = {member.name,
-                                  work.outstanding + work.waiting,
-                                  work.slowness_percent / kPercent,
-                                  work.usable, now};
+    reports_[work.target_hash] = {member.name, work.outstanding + work.waiting,
+                                  work.slowness_percent / kPercent, work.usable,
+                                  now};
   }
 }
 
--- a/src/routing/internal/local_target_router.cc
+++ b/src/routing/internal/local_target_router.cc
@@ -192,20 +192,19 @@
   return nullptr;
 }
 
-Milliseconds LocalTargetRouter::ExpectedWait(
-    const Pool& pool,
-    const std::string& target) const {
+Milliseconds LocalTargetRouter::ExpectedWait(const Pool& pool,
+                                             const std::string& target) const {
   const auto state = std::find_if(
       pool.targets.begin(), pool.targets.end(),
       [&target](const StatePtr& s) { return s->target().name == target; });
   if (state == pool.targets.end()) {
     return Milliseconds::max();
   }
-  const double ahead =
-      (*state)->outstanding() + WaitingFor(target) + 1 - (*state)->target().slots;
+  const double ahead = (*state)->outstanding() + WaitingFor(target) + 1 -
+                       (*state)->target().slots;
   const double run = (*state)->slowness() * pool.times.warm_ms();
-  return Milliseconds(static_cast<int64_t>(
-      std::max(0.0, ahead) / (*state)->target().slots * run));
+  return Milliseconds(static_cast<int64_t>(std::max(0.0, ahead) /
+                                           (*state)->target().slots * run));
 }
 
 int LocalTargetRouter::WaitingFor(const std::string& target) const {
@@ -230,8 +229,8 @@
       heartbeat->work.push_back(
           {state->hash(), static_cast<uint16_t>(state->outstanding()),
            static_cast<uint16_t>(WaitingFor(state->target().name)),
-           static_cast<uint16_t>(std::min<double>(
-               state->slowness() * kPercent, UINT16_MAX)),
+           static_cast<uint16_t>(
+               std::min<double>(state->slowness() * kPercent, UINT16_MAX)),
            state->Usable(now)});
     }
   }
@@ -248,11 +247,10 @@
       if (target.region != identity_->region) {
         continue;
       }
-      const auto known =
-          std::find_if(pool.targets.begin(), pool.targets.end(),
-                       [&target](const StatePtr& state) {
-                         return IsSame(state->target(), target);
-                       });
+      const auto known = std::find_if(pool.targets.begin(), pool.targets.end(),
+                                      [&target](const StatePtr& state) {
+                                        return IsSame(state->target(), target);
+                                      });
       StatePtr state;
       if (known == pool.targets.end()) {
         state = std::make_shared<TargetState>(target, now);
@@ -261,8 +259,8 @@
         state = *known;
         state->SetTarget(target, now);
       }
-      state->SetWarmUp(service.warm_up, service.warm_up_rate,
-                       ColdPart(target), now);
+      state->SetWarmUp(service.warm_up, service.warm_up_rate, ColdPart(target),
+                       now);
       state->SetClosed(IsClosed(target), now);
     }
     pool.targets.erase(
@@ -371,7 +369,8 @@
   if (candidates.empty()) {
     return nullptr;
   }
-  const TargetState* const chosen = choice_->Choose(candidates, request, now, random_);
+  const TargetState* const chosen =
+      choice_->Choose(candidates, request, now, random_);
   return *std::find_if(
       pool.targets.begin(), pool.targets.end(),
       [chosen](const StatePtr& state) { return state.get() == chosen; });
@@ -385,9 +384,9 @@
     waking_ = true;
     wake_.Start();
   }
-  waiter->timer.expires_at(std::min<TimePoint>(
-      {waiter->request.deadline, waiter->request.start_by,
-       waiter->since + options_.max_wait}));
+  waiter->timer.expires_at(
+      std::min<TimePoint>({waiter->request.deadline, waiter->request.start_by,
+                           waiter->since + options_.max_wait}));
   boost::system::error_code ignored;
   const std::string& target = waiter->request.target;
   ++waiting_for_[target];
--- a/src/routing/tests/place_choice_test.cc
+++ b/src/routing/tests/place_choice_test.cc
@@ -53,8 +53,8 @@
 TEST_CASE("without a slot in time nothing is chosen") {
   // Neither the own target, nor a cold one beside it that is full as well, nor
   // a second one in another region, however idle it is.
-  std::vector<PlaceCandidate> candidates = {Near(9, 9), Near(5, 3), Far(8, 9, 10),
-                                            Far(4, 0, 10)};
+  std::vector<PlaceCandidate> candidates = {Near(9, 9), Near(5, 3),
+                                            Far(8, 9, 10), Far(4, 0, 10)};
   CHECK_FALSE(ChoosePlace(Times(200, 640), 100, &candidates));
 }
 
--- a/src/routing/tests/placement_load_test.cc
+++ b/src/routing/tests/placement_load_test.cc
@@ -76,14 +76,13 @@
 // The project's earlier choice: least outstanding, refused when all are full.
 std::optional<size_t> ByLeastWork(const ServiceTimes& /*times*/,
                                   std::vector<PlaceCandidate>* list) {
-  const auto least = std::min_element(
-      list->begin(), list->end(),
-      [](const PlaceCandidate& a, const PlaceCandidate& b) {
-        return a.work < b.work;
-      });
+  const auto least =
+      std::min_element(list->begin(), list->end(),
+                       [](const PlaceCandidate& a, const PlaceCandidate& b) {
+                         return a.work < b.work;
+                       });
   return least->work < kSlots
-             ? std::optional<size_t>(
-                   static_cast<size_t>(least - list->begin()))
+             ? std::optional<size_t>(static_cast<size_t>(least - list->begin()))
              : std::nullopt;
 }
 
--- a/src/routing/tests/warm_up_limiter_test.cc
+++ b/src/routing/tests/warm_up_limiter_test.cc
@@ -66,7 +66,8 @@
   CHECK(load->running == 3);
   CHECK(load->waiting == 1);
   CHECK(load->slots == 8);
-  for (const char* text : {"", "3", "3,1", "3,1,8,9", "a,b,c", "3,,8", "-1,0,8"}) {
+  for (const char* text :
+       {"", "3", "3,1", "3,1,8,9", "a,b,c", "3,,8", "-1,0,8"}) {
     CHECK_FALSE(TargetLoad::Parse(text));
   }
 }
--- a/src/steering/internal/section_parser.cc
+++ b/src/steering/internal/section_parser.cc
@@ -83,8 +83,8 @@
       Milliseconds(reader.Integer("target_latency_ms", 0, kMaxTimeoutMs, 0));
   route->max_attempts = static_cast<int>(reader.Integer(
       "max_attempts", 1, kMaxAttempts, Route::kDefaultMaxAttempts));
-  route->priority = static_cast<int>(
-      reader.Integer("priority", 0, kLowestPriority, 0));
+  route->priority =
+      static_cast<int>(reader.Integer("priority", 0, kLowestPriority, 0));
   route->affinity = reader.Boolean("affinity", false);
   route->home_regions = reader.Strings("home_regions");
 }
--- a/src/steering/internal/steering_document.cc
+++ b/src/steering/internal/steering_document.cc
@@ -280,8 +280,7 @@
     return nullptr;
   }
   const auto route = std::find_if(
-      routes->second.begin(), routes->second.end(),
-      [path](const HostRoute& r) {
+      routes->second.begin(), routes->second.end(), [path](const HostRoute& r) {
         return path.substr(0, r.route.path_prefix.size()) ==
                r.route.path_prefix;
       });
@@ -291,10 +290,9 @@
 const HostRoute* SteeringDocument::FindHostRouteByName(
     std::string_view name) const {
   for (const auto& [host, routes] : host_routes_) {
-    const auto route =
-        std::find_if(routes.begin(), routes.end(), [name](const HostRoute& r) {
-          return r.route.name == name;
-        });
+    const auto route = std::find_if(
+        routes.begin(), routes.end(),
+        [name](const HostRoute& r) { return r.route.name == name; });
     if (route != routes.end()) {
       return &*route;
     }
--- a/src/store/internal/kubernetes_store.cc
+++ b/src/store/internal/kubernetes_store.cc
@@ -130,10 +130,10 @@
 }  // namespace
 
 KubernetesStore::KubernetesStore(boost::asio::io_context& io,
-                                       SocketRegistry& sockets,
-                                       Metrics& metrics,
-                                       boost::asio::ip::tcp::endpoint endpoint,
-                                       Milliseconds timeout)
+                                 SocketRegistry& sockets,
+                                 Metrics& metrics,
+                                 boost::asio::ip::tcp::endpoint endpoint,
+                                 Milliseconds timeout)
     : io_(io),
       sockets_(sockets),
       metrics_(metrics),
@@ -142,8 +142,8 @@
       timeout_(timeout) {}
 
 Result<StoredObject> KubernetesStore::Get(const std::string& kind,
-                                             const std::string& name,
-                                             const Yield& yield) {
+                                          const std::string& name,
+                                          const Yield& yield) {
   const Result<json> answer =
       Call(http::verb::get, ObjectPath(kind, name), {}, yield);
   if (!answer) {
@@ -157,7 +157,7 @@
 }
 
 Result<ObjectList> KubernetesStore::List(const std::string& kind,
-                                            const Yield& yield) {
+                                         const Yield& yield) {
   const Result<json> answer = Call(http::verb::get, KindPath(kind), {}, yield);
   if (!answer) {
     return answer.error();
@@ -175,7 +175,7 @@
 }
 
 Result<StoredObject> KubernetesStore::Create(const StoredObject& object,
-                                                const Yield& yield) {
+                                             const Yield& yield) {
   const Result<json> answer =
       Call(http::verb::post, KindPath(object.kind), ToJson(object), yield);
   if (!answer) {
@@ -189,7 +189,7 @@
 }
 
 Result<StoredObject> KubernetesStore::Update(const StoredObject& object,
-                                                const Yield& yield) {
+                                             const Yield& yield) {
   const Result<json> answer =
       Call(http::verb::put, ObjectPath(object.kind, object.name),
            ToJson(object), yield);
@@ -289,9 +289,9 @@
 }
 
 Result<json> KubernetesStore::Call(http::verb method,
-                                      const std::string& target,
-                                      const json& body,
-                                      const Yield& yield) {
+                                   const std::string& target,
+                                   const json& body,
+                                   const Yield& yield) {
   HttpCall call;
   call.endpoint = endpoint_;
   call.method = method;
--- a/src/store/internal/kubernetes_store.h
+++ b/src/store/internal/kubernetes_store.h
@@ -17,10 +17,10 @@
 class KubernetesStore : public ObjectStore, public InstanceDirectory {
  public:
   KubernetesStore(boost::asio::io_context& io,
-                     SocketRegistry& sockets,
-                     Metrics& metrics,
-                     boost::asio::ip::tcp::endpoint endpoint,
-                     Milliseconds timeout);
+                  SocketRegistry& sockets,
+                  Metrics& metrics,
+                  boost::asio::ip::tcp::endpoint endpoint,
+                  Milliseconds timeout);
 
   Result<StoredObject> Get(const std::string& kind,
                            const std::string& name,
--- a/testing/fake_platform/fake_platform.cc
+++ b/testing/fake_platform/fake_platform.cc
@@ -287,9 +287,7 @@
   }
   ++version_;
   events_.push_back(
-      {version_,
-       kind,
-       {{"type", "DELETED"}, {"object", known->second.value}}});
+      {version_, kind, {{"type", "DELETED"}, {"object", known->second.value}}});
   objects.erase(known);
   return {200, StatusObject(200, "Success")};
 }
--- a/testing/fake_target/fake_target.cc
+++ b/testing/fake_target/fake_target.cc
@@ -284,8 +284,7 @@
     return true;
   }
   const std::shared_ptr<Timer> waiter =
-      std::make_shared<Timer>(owner_.kernel().io(),
-                                                  kForever);
+      std::make_shared<Timer>(owner_.kernel().io(), kForever);
   waiters_.push_back(waiter);
   boost::system::error_code woken;
   waiter->async_wait(yield[woken]);
--- a/testing/fuzz/fuzz.cc
+++ b/testing/fuzz/fuzz.cc
@@ -137,7 +137,8 @@
 
 std::vector<Corpus> MakeCorpora() {
   Heartbeat heartbeat;
-  heartbeat.identity.push_back({"r1", "d1", "127.0.0.1:1", "", "127.0.0.1:2", "p"});
+  heartbeat.identity.push_back(
+      {"r1", "d1", "127.0.0.1:1", "", "127.0.0.1:2", "p"});
   heartbeat.work = {{1, 2}, {3, 4}};
   StateReply reply;
   reply.entries = {{"section.a", 3, "{}"}, {"keys.0", 1, "{}"}};
--- /dev/null
+++ b/testing/integration/platform_test_fleet.cc
@@ -0,0 +1,245 @@
+// The system on the platform's stand-in: entry instances as processes, the
+// store and the targets on a thread of the test.
+
+#include <fmt/format.h>
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <set>
+#include <thread>
+
+#include "framework/settings/endpoint.h"
+#include "testing/harness/sync_client.h"
+#include "testing/platform_stand_in/platform_stand_in.h"
+
+namespace redwing::testing {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kInstances = 4;
+constexpr Milliseconds kStartLimit{15'000};
+// A change must be in force, and a leaving target left alone, by then.
+constexpr Milliseconds kChangeLimit{2'000};
+// A fleet that lost all its processes serves again by then.
+constexpr Milliseconds kRecoveryLimit{15'000};
+
+std::string Field(const HttpReply& reply, const std::string& name) {
+  return std::string(StdView(reply.header[BeastView(name)]));
+}
+
+TEST_CASE("a request by host reaches a target with all that is its own") {
+  PlatformStandIn fleet(kInstances);
+  REQUIRE(fleet.AwaitReady(kStartLimit));
+  for (int i = 0; i < kInstances; ++i) {
+    const std::string id = fmt::format("plain-{}", i);
+    const Result<HttpReply> reply =
+        fleet.Send(i, id, http::verb::get, "/safe/a%20b?x=1&&y=%2F");
+    REQUIRE(reply);
+    CHECK(reply.value().status == 200);
+    CHECK(reply.value().body == "ran " + id);
+    CHECK(Field(reply.value(), "X-Redwingcart-Response-Signature") ==
+          "signed-" + id);
+  }
+  fleet.OnLoop([&]() {
+    for (size_t i = 0; i < fleet.target_count(); ++i) {
+      for (const TargetRun& run : fleet.target(i).runs()) {
+        CHECK(run.workspace == "one");
+        CHECK(run.authorization.empty());
+        CHECK(run.path == "/safe/a%20b?x=1&&y=%2F");
+        CHECK(std::stoi(run.deadline) <= 3000);
+      }
+    }
+  });
+  CHECK(
+      fleet.Send(0, "q1", http::verb::get, "/safe/1", "none").value().status ==
+      401);
+  CHECK(fleet.Send(0, "q2", http::verb::get, "/other/").value().status == 404);
+}
+
+TEST_CASE("look-ups name the region's entries, and none that is stopped") {
+  PlatformStandIn fleet(kInstances);
+  REQUIRE(fleet.AwaitReady(kStartLimit));
+  const auto look_up = [&fleet]() {
+    const json answer = CallJson(http::verb::get, fleet.directory(0),
+                                 "/resolve?name=shop.example&region=region-1");
+    return answer.at("addresses").get<std::set<std::string>>();
+  };
+  const std::set<std::string> both = {fleet.front(1), fleet.front(3)};
+  CHECK(WaitUntil([&]() { return look_up() == both; }, kStartLimit));
+  fleet.instance(1).Signal(SIGTERM);
+  CHECK(WaitUntil(
+      [&]() { return look_up() == std::set<std::string>{fleet.front(3)}; },
+      kChangeLimit));
+}
+
+TEST_CASE("a lost answer: safe requests are asked again, others run once") {
+  PlatformStandIn fleet(kInstances);
+  REQUIRE(fleet.AwaitReady(kStartLimit));
+  fleet.OnLoop([&]() {
+    fleet.target(0).SetMode(TargetMode::kLoseAnswer);
+    fleet.target(1).SetMode(TargetMode::kForge);
+  });
+  for (int i = 0; i < 40; ++i) {
+    const std::string safe = fmt::format("safe-{}", i);
+    const Result<HttpReply> answer = fleet.Send(i % kInstances, safe);
+    REQUIRE(answer);
+    // The budget of further tries may be used up; an answer is never forged.
+    if (answer.value().status == 200) {
+      CHECK(answer.value().body == "ran " + safe);
+      CHECK(Field(answer.value(), "X-Redwingcart-Response-Signature") ==
+            "signed-" + safe);
+    }
+    const std::string unsafe = fmt::format("unsafe-{}", i);
+    const Result<HttpReply> once =
+        fleet.Send(i % kInstances, unsafe, http::verb::post, "/unsafe/1");
+    REQUIRE(once);
+    const int runs = fleet.RunsOf(unsafe);
+    CHECK(runs <= 1);
+    const unsigned status = once.value().status;
+    if (status == 503 || status == 429) {
+      CHECK(runs == 0);
+    }
+  }
+}
+
+TEST_CASE("a leaving target gets no new work") {
+  PlatformStandIn fleet(kInstances);
+  REQUIRE(fleet.AwaitReady(kStartLimit));
+  fleet.OnLoop([&]() { fleet.List(0, "draining"); });
+  std::this_thread::sleep_for(kChangeLimit);
+  size_t before = 0;
+  fleet.OnLoop([&]() { before = fleet.target(0).runs().size(); });
+  for (int i = 0; i < 40; ++i) {
+    const Result<HttpReply> reply =
+        fleet.Send(i % kInstances, fmt::format("leaving-{}", i));
+    CHECK((reply && reply.value().status == 200));
+  }
+  fleet.OnLoop([&]() { CHECK(fleet.target(0).runs().size() == before); });
+}
+
+TEST_CASE("a change is in force everywhere in time, keys included") {
+  PlatformStandIn fleet(kInstances);
+  REQUIRE(fleet.AwaitReady(kStartLimit));
+  json changed = PlatformStandIn::Manifest(9);
+  changed["tenants"]["rows"][0][1] = {"key-new"};
+  changed["routes"]["rows"][0][2] = "/moved/";
+  fleet.PutManifest(changed);
+  std::this_thread::sleep_for(kChangeLimit);
+  for (int i = 0; i < kInstances; ++i) {
+    CHECK(fleet.Send(i, "c1", http::verb::get, "/safe/1", "key-new")
+              .value()
+              .status == 404);
+    CHECK(fleet.Send(i, "c2", http::verb::get, "/moved/1").value().status ==
+          401);
+    CHECK(fleet.Send(i, "c3", http::verb::get, "/moved/1", "key-new")
+              .value()
+              .status == 200);
+  }
+  // A manifest that cannot be read leaves the one before in force.
+  fleet.PutManifest({{"version", "r10"}});
+  std::this_thread::sleep_for(kChangeLimit);
+  CHECK(fleet.Send(0, "c4", http::verb::get, "/moved/1", "key-new")
+            .value()
+            .status == 200);
+}
+
+TEST_CASE("a workspace gets its rate over all instances together") {
+  PlatformStandIn fleet(kInstances);
+  REQUIRE(fleet.AwaitReady(kStartLimit));
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  // The workspace's limits are 20 a second and 20 at once, and a tenth and 20
+  // more in a window are tolerated.
+  constexpr int kSeconds = 5;
+  std::atomic<int> served{0};
+  std::atomic<int> refused{0};
+  std::vector<std::thread> callers;
+  const TimePoint end = Clock::now() + std::chrono::seconds(kSeconds);
+  for (int i = 0; i < kInstances; ++i) {
+    callers.emplace_back([&, i]() {
+      for (int n = 0; Clock::now() < end; ++n) {
+        const Result<HttpReply> reply =
+            fleet.Send(i, fmt::format("rate-{}-{}", i, n), http::verb::get,
+                       "/safe/1", "key-two");
+        const unsigned status = reply ? reply.value().status : 0;
+        served += status == 200 ? 1 : 0;
+        refused += status == 429 ? 1 : 0;
+      }
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  CAPTURE(served.load(), refused.load());
+  CHECK(refused > 0);
+  CHECK(served <= (20 * kSeconds + 20) * 1.1 + 20);
+  CHECK(served >= 20 * kSeconds / 2);
+}
+
+TEST_CASE("a planned stop cuts no request and leaves the list") {
+  PlatformStandIn fleet(kInstances);
+  REQUIRE(fleet.AwaitReady(kStartLimit));
+  fleet.OnLoop([&]() {
+    for (size_t i = 0; i < fleet.target_count(); ++i) {
+      fleet.target(i).SetRunTime(Milliseconds(800));
+    }
+  });
+  std::vector<std::thread> callers;
+  std::atomic<int> answered{0};
+  for (int i = 0; i < 3; ++i) {
+    callers.emplace_back([&, i]() {
+      const Result<HttpReply> reply = fleet.Send(0, fmt::format("stop-{}", i));
+      answered += reply && reply.value().status == 200 ? 1 : 0;
+    });
+  }
+  std::this_thread::sleep_for(Milliseconds(200));
+  fleet.instance(0).Signal(SIGTERM);
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  CHECK(answered == 3);
+  CHECK(fleet.instance(0).Wait(std::chrono::seconds(6)) == 0);
+  fleet.OnLoop([&]() {
+    CHECK(fleet.store().Count("redwinginstances") == kInstances - 1);
+  });
+}
+
+TEST_CASE("a reload cuts nothing") {
+  PlatformStandIn fleet(2);
+  REQUIRE(fleet.AwaitReady(kStartLimit));
+  fleet.instance(0).Signal(SIGHUP);
+  const Result<HttpReply> reply = fleet.Send(0, "after-reload");
+  CHECK((reply && reply.value().status == 200));
+}
+
+TEST_CASE("the fleet goes on while the store is down, and is back by itself") {
+  PlatformStandIn fleet(kInstances);
+  REQUIRE(fleet.AwaitReady(kStartLimit));
+  fleet.OnLoop([&]() { fleet.store().SetDown(true); });
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  for (int i = 0; i < 20; ++i) {
+    const Result<HttpReply> reply =
+        fleet.Send(i % kInstances, fmt::format("down-{}", i));
+    CHECK((reply && reply.value().status == 200));
+  }
+  for (int i = 0; i < kInstances; ++i) {
+    fleet.instance(i).Kill();
+  }
+  for (int i = 0; i < kInstances; ++i) {
+    fleet.StartInstance(i);
+  }
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  fleet.OnLoop([&]() { fleet.store().SetDown(false); });
+  REQUIRE(fleet.AwaitReady(kRecoveryLimit));
+  const bool served = WaitUntil(
+      [&]() {
+        const Result<HttpReply> reply = fleet.Send(0, "again");
+        return reply && reply.value().status == 200;
+      },
+      kRecoveryLimit);
+  CHECK(served);
+}
+
+}  // namespace
+}  // namespace redwing::testing
--- /dev/null
+++ b/testing/platform_stand_in/platform_stand_in.h
@@ -0,0 +1,79 @@
+#ifndef REDWING_TESTING_PLATFORM_STAND_IN_PLATFORM_STAND_IN_H_
+#define REDWING_TESTING_PLATFORM_STAND_IN_PLATFORM_STAND_IN_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "framework/http/http_client.h"
+#include "testing/harness/process.h"
+#include "testing/platform_stand_in/store_stand_in.h"
+#include "testing/platform_stand_in/target_stand_in.h"
+
+namespace redwing::testing {
+
+// A small deployment on the platform: its store and targets on a thread of the
+// test, and entry instances as processes of their own. Two regions with one
+// failure domain each.
+class PlatformStandIn {
+ public:
+  // `instances` entries, dealt over the regions in turn.
+  explicit PlatformStandIn(int instances);
+  ~PlatformStandIn();
+  PlatformStandIn(const PlatformStandIn&) = delete;
+  PlatformStandIn& operator=(const PlatformStandIn&) = delete;
+
+  // Runs a function on the thread of the store and the targets.
+  void OnLoop(const std::function<void()>& function);
+
+  StoreStandIn& store() { return *store_; }
+  TargetStandIn& target(size_t index) { return *targets_[index]; }
+  size_t target_count() const { return targets_.size(); }
+  // Writes what a target says of itself.
+  void List(size_t target, const std::string& state);
+  // Sum of all targets' runs of a request.
+  int RunsOf(const std::string& request_id);
+  size_t RunCount();
+
+  // A manifest with one safe and one unsafe route.
+  static nlohmann::json Manifest(int version);
+  void PutManifest(const nlohmann::json& manifest);
+
+  void StartInstance(int index);
+  Process& instance(int index) { return *instances_.at(index); }
+  std::string front(int index) const;
+  std::string ready(int index) const;
+  std::string directory(int index) const;
+  // Waits until all instances that run are ready.
+  bool AwaitReady(Milliseconds limit);
+
+  // Sends one request to an instance.
+  Result<HttpReply> Send(int instance,
+                         const std::string& request_id,
+                         http::verb method = http::verb::get,
+                         const std::string& path = "/safe/1",
+                         const std::string& key = "key-one");
+
+ private:
+  std::string Ip(int host) const;
+  std::string SettingsOf(int index) const;
+
+  std::string network_;
+  std::string folder_;
+  boost::asio::io_context io_;
+  std::unique_ptr<StoreStandIn> store_;
+  std::vector<std::unique_ptr<TargetStandIn>> targets_;
+  std::vector<std::string> target_addresses_;
+  std::string store_address_;
+  std::thread thread_;
+  std::map<int, std::unique_ptr<Process>> instances_;
+  int sequence_ = 0;
+};
+
+}  // namespace redwing::testing
+
+#endif  // REDWING_TESTING_PLATFORM_STAND_IN_PLATFORM_STAND_IN_H_
--- /dev/null
+++ b/testing/platform_stand_in/store_stand_in.h
@@ -0,0 +1,82 @@
+#ifndef REDWING_TESTING_PLATFORM_STAND_IN_STORE_STAND_IN_H_
+#define REDWING_TESTING_PLATFORM_STAND_IN_STORE_STAND_IN_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "framework/http/http_handler.h"
+#include "framework/http/http_server.h"
+#include "framework/http/socket_registry.h"
+#include "framework/metrics/metrics.h"
+
+namespace redwing::testing {
+
+// Stand-in for the platform's store, as its pages publish it: objects by kind
+// and name, one revision counter, conditional writes, waits for changes. Used
+// on the thread of its event loop only.
+class StoreStandIn : public HttpHandler {
+ public:
+  explicit StoreStandIn(boost::asio::io_context& io);
+
+  // Binds a free port of an address; returns where it listens.
+  std::string Listen(const std::string& ip);
+  void Handle(HttpExchange& exchange, const Yield& yield) override;
+
+  // Writes as an operator or a target does; returns the revision.
+  uint64_t Put(const std::string& kind,
+               const std::string& name,
+               const nlohmann::json& spec);
+  void Remove(const std::string& kind, const std::string& name);
+  size_t Count(const std::string& kind) const;
+
+  // While down, each call is answered 503.
+  void SetDown(bool down) { down_ = down; }
+
+ private:
+  struct Object {
+    uint64_t revision = 0;
+    nlohmann::json spec;
+  };
+  struct Change {
+    uint64_t revision = 0;
+    std::string kind;
+    nlohmann::json event;
+  };
+
+  void List(HttpExchange& exchange,
+            const std::string& kind,
+            const Yield& yield);
+  void Watch(HttpExchange& exchange,
+             const std::string& kind,
+             uint64_t after,
+             Milliseconds limit,
+             const Yield& yield);
+  void Write(HttpExchange& exchange,
+             const std::string& kind,
+             const std::string& name,
+             const Yield& yield);
+  void Delete(HttpExchange& exchange,
+              const std::string& kind,
+              const std::string& name,
+              const std::string& revision,
+              const Yield& yield);
+  nlohmann::json Render(const std::string& kind, const std::string& name) const;
+  void Record(const std::string& kind, nlohmann::json object, bool removed);
+
+  boost::asio::io_context& io_;
+  SocketRegistry sockets_;
+  Metrics metrics_;
+  HttpServer server_;
+  std::map<std::string, std::map<std::string, Object>> objects_;
+  std::deque<Change> changes_;
+  uint64_t revision_ = 1;
+  bool down_ = false;
+};
+
+}  // namespace redwing::testing
+
+#endif  // REDWING_TESTING_PLATFORM_STAND_IN_STORE_STAND_IN_H_
--- /dev/null
+++ b/testing/platform_stand_in/target_stand_in.cc
@@ -0,0 +1,76 @@
+#include "testing/platform_stand_in/target_stand_in.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "framework/http/http_exchange.h"
+#include "framework/kernel/sleep.h"
+#include "framework/settings/endpoint.h"
+
+namespace redwing::testing {
+
+namespace {
+constexpr size_t kMaxBody = 1024 * 1024;  // bytes
+
+ResponseHeader Answer(unsigned status, std::string_view request_id) {
+  ResponseHeader header;
+  header.result(status);
+  header.set("X-Redwingcart-Request-Id", BeastView(request_id));
+  return header;
+}
+}  // namespace
+
+TargetStandIn::TargetStandIn(boost::asio::io_context& io,
+                             std::string id,
+                             int slots)
+    : io_(io),
+      id_(std::move(id)),
+      slots_(slots),
+      sockets_(io),
+      server_(io, sockets_, metrics_, *this, HttpServerLimits()) {}
+
+std::string TargetStandIn::Listen(const std::string& ip) {
+  server_.Listen(TcpEndpoint(ip + ":0"));
+  return FormatEndpoint(server_.local_endpoint());
+}
+
+void TargetStandIn::Handle(HttpExchange& exchange, const Yield& yield) {
+  const std::string request_id(exchange.Header("X-Redwingcart-Request-Id"));
+  const std::string_view wanted =
+      exchange.Header("X-Redwingcart-Target-Instance");
+  if (!wanted.empty() && wanted != id_) {
+    exchange.Respond(Answer(421, request_id), "", yield);
+    return;
+  }
+  if (running_ >= slots_) {
+    ResponseHeader header = Answer(503, request_id);
+    header.set("X-Redwingcart-Not-Executed", "1");
+    exchange.Respond(std::move(header), "", yield);
+    return;
+  }
+  ++running_;
+  most_at_once_ = std::max(most_at_once_, running_);
+  runs_.push_back({request_id, std::string(exchange.method()),
+                   std::string(exchange.target()),
+                   std::string(exchange.Header("X-Redwingcart-Tenant")),
+                   std::string(exchange.Header("Authorization")),
+                   std::string(exchange.Header("X-Redwingcart-Deadline-Ms")),
+                   Clock::now()});
+  const Result<std::string> body = exchange.ReadWholeBody(kMaxBody, yield);
+  SleepFor(io_, run_time_, yield);
+  --running_;
+  if (mode_ == TargetMode::kLoseAnswer || !body) {
+    exchange.Break();
+    return;
+  }
+  ResponseHeader header = Answer(200, request_id);
+  header.set("X-Redwingcart-Server-Load",
+             fmt::format("{},0,{}", running_, slots_));
+  if (mode_ != TargetMode::kForge) {
+    header.set("X-Redwingcart-Response-Signature", "signed-" + request_id);
+  }
+  exchange.Respond(std::move(header), "ran " + request_id, yield);
+}
+
+}  // namespace redwing::testing
