--- a/src/framework/kernel/clock.h
+++ b/src/framework/kernel/clock.h
@@ -17,7 +17,8 @@
   using period = duration::period;
   using time_point = std::chrono::time_point<Clock>;
 
-  static constexpr bool is_steady = true;
+  // Named by the standard's requirements for clocks.
+  static constexpr bool is_steady = true;  // NOLINT(readability-identifier-naming)
 
   static time_point now() noexcept {
     timespec time{};
