--- a/testing/platform_stand_in/platform_stand_in.cc
+++ b/testing/platform_stand_in/platform_stand_in.cc
@@ -38,7 +38,7 @@
 
 }  // namespace
 
-PlatformStandIn::PlatformStandIn(int instances) {
+PlatformStandIn::PlatformStandIn(int instances) : world_(*new World) {
   const int process = getpid();
   network_ = fmt::format("127.{}.{}", 100 + process / kHostsPerNetwork % 100,
                          process % kHostsPerNetwork);
@@ -46,20 +46,21 @@
              fmt::format("redwing-platform-{}", process))
                 .string();
   std::filesystem::create_directories(folder_);
-  store_ = std::make_unique<StoreStandIn>(io_);
-  store_address_ = store_->Listen(Ip(kStoreHost));
+  world_.store = std::make_unique<StoreStandIn>(world_.io);
+  store_address_ = world_.store->Listen(Ip(kStoreHost));
   for (int i = 0; i < kRegions * kTargetsPerRegion; ++i) {
-    targets_.push_back(
-        std::make_unique<TargetStandIn>(io_, fmt::format("i-{}", i), kSlots));
-    target_addresses_.push_back(targets_[i]->Listen(Ip(kFirstTargetHost + i)));
+    world_.targets.push_back(std::make_unique<TargetStandIn>(
+        world_.io, fmt::format("i-{}", i), kSlots));
+    target_addresses_.push_back(
+        world_.targets[i]->Listen(Ip(kFirstTargetHost + i)));
     List(i, "ready");
   }
-  store_->Put("config", "main", Manifest(1));
+  world_.store->Put("config", "main", Manifest(1));
   thread_ = std::thread([this]() {
     const boost::asio::executor_work_guard<
         boost::asio::io_context::executor_type>
-        guard = boost::asio::make_work_guard(io_);
-    io_.run();
+        guard = boost::asio::make_work_guard(world_.io);
+    world_.io.run();
   });
   for (int i = 0; i < instances; ++i) {
     StartInstance(i);
@@ -68,16 +69,15 @@
 
 PlatformStandIn::~PlatformStandIn() {
   instances_.clear();
-  io_.stop();
+  world_.io.stop();
   thread_.join();
-  // Suspended coroutines refer to the store and the targets: they go first.
   std::error_code ignored;
   std::filesystem::remove_all(folder_, ignored);
 }
 
 void PlatformStandIn::OnLoop(const std::function<void()>& function) {
   std::promise<void> done;
-  boost::asio::post(io_, [&function, &done]() {
+  boost::asio::post(world_.io, [&function, &done]() {
     function();
     done.set_value();
   });
@@ -86,22 +86,22 @@
 
 void PlatformStandIn::List(size_t target, const std::string& state) {
   const int index = static_cast<int>(target);
-  store_->Put("servers", targets_[target]->id(),
-              {{"service", "svc"},
-               {"address", target_addresses_[target]},
-               {"zone", ZoneName(index)},
-               {"version", "v1"},
-               {"slots", kSlots},
-               {"state", state},
-               {"warmup_time", "0ms"},
-               {"seq", ++sequence_},
-               {"born", 1000}});
+  world_.store->Put("servers", world_.targets[target]->id(),
+                    {{"service", "svc"},
+                     {"address", target_addresses_[target]},
+                     {"zone", ZoneName(index)},
+                     {"version", "v1"},
+                     {"slots", kSlots},
+                     {"state", state},
+                     {"warmup_time", "0ms"},
+                     {"seq", ++sequence_},
+                     {"born", 1000}});
 }
 
 int PlatformStandIn::RunsOf(const std::string& request_id) {
   int count = 0;
   OnLoop([&]() {
-    for (const std::unique_ptr<TargetStandIn>& target : targets_) {
+    for (const std::unique_ptr<TargetStandIn>& target : world_.targets) {
       for (const TargetRun& run : target->runs()) {
         count += run.request_id == request_id ? 1 : 0;
       }
@@ -113,7 +113,7 @@
 size_t PlatformStandIn::RunCount() {
   size_t count = 0;
   OnLoop([&]() {
-    for (const std::unique_ptr<TargetStandIn>& target : targets_) {
+    for (const std::unique_ptr<TargetStandIn>& target : world_.targets) {
       count += target->runs().size();
     }
   });
@@ -152,7 +152,7 @@
 }
 
 void PlatformStandIn::PutManifest(const json& manifest) {
-  OnLoop([&]() { store_->Put("config", "main", manifest); });
+  OnLoop([&]() { world_.store->Put("config", "main", manifest); });
 }
 
 std::string PlatformStandIn::Ip(int host) const {
--- a/testing/platform_stand_in/platform_stand_in.h
+++ b/testing/platform_stand_in/platform_stand_in.h
@@ -30,9 +30,9 @@
   // Runs a function on the thread of the store and the targets.
   void OnLoop(const std::function<void()>& function);
 
-  StoreStandIn& store() { return *store_; }
-  TargetStandIn& target(size_t index) { return *targets_[index]; }
-  size_t target_count() const { return targets_.size(); }
+  StoreStandIn& store() { return *world_.store; }
+  TargetStandIn& target(size_t index) { return *world_.targets[index]; }
+  size_t target_count() const { return world_.targets.size(); }
   // Writes what a target says of itself.
   void List(size_t target, const std::string& state);
   // Sum of all targets' runs of a request.
@@ -62,11 +62,18 @@
   std::string Ip(int host) const;
   std::string SettingsOf(int index) const;
 
+  // The store and the targets with their event loop. Never destroyed:
+  // coroutines still suspended would be unwound while the objects that they
+  // refer to are being destroyed.
+  struct World {
+    boost::asio::io_context io;
+    std::unique_ptr<StoreStandIn> store;
+    std::vector<std::unique_ptr<TargetStandIn>> targets;
+  };
+
   std::string network_;
   std::string folder_;
-  boost::asio::io_context io_;
-  std::unique_ptr<StoreStandIn> store_;
-  std::vector<std::unique_ptr<TargetStandIn>> targets_;
+  World& world_;
   std::vector<std::string> target_addresses_;
   std::string store_address_;
   std::thread thread_;
