A request whose caller has left is not sent on while the event loop is behind

Ruled out: waits for slots (checked when they end), hops (the same at their leader). Change: the connection is asked right before each sending. Lines of log are written out every 100 ms instead of one system call each.

--- a/src/delivery/internal/request_carrier.cc
+++ b/src/delivery/internal/request_carrier.cc
@@ -187,7 +187,8 @@
   }
   delivery.collect =
       options_.hold_answers && exchange.request().method() != http::verb::head;
-  if (body.whole()) {
+  delivery.cancellable = body.whole();
+  if (delivery.cancellable) {
     exchange.WatchCaller([&delivery]() { delivery.cancellation.Cancel(); });
   }
   const Result<void> result = Deliver(delivery, yield);
@@ -304,6 +305,9 @@
     return NotRun(Errc::kPeerUnreachable, "the target's leader is gone");
   }
   const Member leader = *member;
+  if (IsAbandoned(delivery)) {
+    return NotRun(Errc::kCallerGone, "caller is gone");
+  }
   services_.placement->BeginForward(place);
   delivery.connect_time.reset();
   const Result<void> result = SendToEntry(delivery, leader, false, yield);
@@ -319,6 +323,11 @@
              : TryRegion(delivery, region, yield);
 }
 
+bool RequestCarrier::IsAbandoned(const Delivery& delivery) {
+  return delivery.cancellation.cancelled() ||
+         (delivery.cancellable && delivery.exchange.CallerHasLeft());
+}
+
 bool RequestCarrier::CanRepeat(const Delivery& delivery) {
   return delivery.body.replayable() && !delivery.exchange.response_begun() &&
          !delivery.exchange.broken() && !delivery.cancellation.cancelled() &&
@@ -413,7 +422,7 @@
     delivery.tried_regions.insert(services_.identity->region);
     return lease.error();
   }
-  if (delivery.cancellation.cancelled()) {
+  if (IsAbandoned(delivery)) {
     lease.value().SetOutcome(AttemptOutcome::kCancelled);
     return NotRun(Errc::kCallerGone, "caller is gone");
   }
--- a/src/delivery/internal/request_carrier.h
+++ b/src/delivery/internal/request_carrier.h
@@ -83,6 +83,8 @@
     RequestBody& body;
     HttpExchange& exchange;
     Cancellation cancellation;
+    // Nobody is served once the caller has left.
+    bool cancellable = false;
     // Collect the answer instead of handing it on.
     bool collect = false;
     // Wait for a slot where none is free.
@@ -114,6 +116,8 @@
   bool MayTryAgain(const Delivery& delivery, const Failure& failure);
   // Returns whether to ask again for an answer that is a server error.
   bool MayReplace(const Delivery& delivery);
+  // Returns whether nobody waits for the answer any more.
+  static bool IsAbandoned(const Delivery& delivery);
   // Returns whether the request can be sent once more at all.
   static bool CanRepeat(const Delivery& delivery);
   // Finds the next place and sends the request there; kNoTarget when no place
--- a/src/framework/http/core_module.h
+++ b/src/framework/http/core_module.h
@@ -1,12 +1,15 @@
 #ifndef REDWING_FRAMEWORK_HTTP_CORE_MODULE_H_
 #define REDWING_FRAMEWORK_HTTP_CORE_MODULE_H_
 
+#include <memory>
 #include <string>
 
 #include "framework/kernel/module.h"
 
 namespace redwing {
 
+class PeriodicTask;
+
 // Registers what every daemon needs: metrics and the timeout sockets. Comes
 // first in a program's list of modules.
 class CoreModule : public Module {
@@ -15,13 +18,17 @@
   // system choose.
   explicit CoreModule(std::string source_address)
       : source_address_(std::move(source_address)) {}
+  ~CoreModule() override;
 
   std::string_view Name() const override { return "core"; }
   void RegisterServices(Kernel& kernel) override;
-  void ResolveDependencies(Kernel& /*kernel*/) override {}
+  void ResolveDependencies(Kernel& kernel) override;
+  void Start() override;
+  void Stop() override;
 
  private:
   std::string source_address_;
+  std::unique_ptr<PeriodicTask> flush_log_;
 };
 
 }  // namespace redwing
--- a/src/framework/http/http_exchange.h
+++ b/src/framework/http/http_exchange.h
@@ -75,6 +75,9 @@
   // Calls `on_gone` when the caller closes its connection before the response
   // has begun.
   void WatchCaller(std::function<void()> on_gone);
+  // Asks whether the caller has closed its connection by now: while the event
+  // loop is behind, the watch tells of it late.
+  bool CallerHasLeft();
   // Ends the watch; called by the exchange itself before it writes.
   void EndWatch();
 
--- a/src/framework/http/internal/core_module.cc
+++ b/src/framework/http/internal/core_module.cc
@@ -2,10 +2,32 @@
 
 #include "framework/http/socket_registry.h"
 #include "framework/kernel/kernel.h"
+#include "framework/kernel/periodic_task.h"
+#include "framework/log/log.h"
 #include "framework/metrics/metrics.h"
 
 namespace redwing {
 
+namespace {
+// What a log line is late by at the most.
+constexpr Milliseconds kFlushInterval{100};
+}  // namespace
+
+CoreModule::~CoreModule() = default;
+
+void CoreModule::ResolveDependencies(Kernel& kernel) {
+  flush_log_ =
+      std::make_unique<PeriodicTask>(kernel.io(), kFlushInterval, &FlushLog);
+}
+
+void CoreModule::Start() {
+  flush_log_->Start();
+}
+
+void CoreModule::Stop() {
+  flush_log_->Stop();
+}
+
 void CoreModule::RegisterServices(Kernel& kernel) {
   kernel.Register(std::make_shared<Metrics>());
   const std::shared_ptr<SocketRegistry> sockets =
--- a/src/framework/http/internal/http_exchange.cc
+++ b/src/framework/http/internal/http_exchange.cc
@@ -216,6 +216,10 @@
       });
 }
 
+bool HttpExchange::CallerHasLeft() {
+  return buffer_.size() == 0 && socket_.PeerHasClosed();
+}
+
 void HttpExchange::EndWatch() {
   if (watch_) {
     watch_.reset();
--- a/src/framework/http/internal/timed_socket.cc
+++ b/src/framework/http/internal/timed_socket.cc
@@ -23,6 +23,11 @@
   socket_.close(ignored);
 }
 
+bool TimedSocket::PeerHasClosed() {
+  char byte = 0;
+  return recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 bool TimedSocket::IsQuiet() {
   char byte = 0;
   const ssize_t size =
--- a/src/framework/http/timed_socket.h
+++ b/src/framework/http/timed_socket.h
@@ -29,6 +29,8 @@
 
   // Returns whether the peer still holds its side open and has sent nothing.
   bool IsQuiet();
+  // Returns whether the peer has closed its side and nothing is left to read.
+  bool PeerHasClosed();
 
  private:
   friend class SocketRegistry;
--- a/src/framework/log/log.h
+++ b/src/framework/log/log.h
@@ -12,6 +12,9 @@
 // written only for changes of state; what happens often is counted.
 void SetUpLog(std::string_view program, const std::string& level);
 
+// Writes out what SetUpLog()'s buffer holds. Warnings are written at once.
+void FlushLog();
+
 }  // namespace redwing
 
 #endif  // REDWING_FRAMEWORK_LOG_LOG_H_
--- a/testing/integration/platform_test_fleet.cc
+++ b/testing/integration/platform_test_fleet.cc
@@ -155,6 +155,7 @@
   std::atomic<int> served{0};
   std::atomic<int> refused{0};
   std::vector<std::thread> callers;
+  callers.reserve(kInstances);
   const TimePoint end = Clock::now() + std::chrono::seconds(kSeconds);
   for (int i = 0; i < kInstances; ++i) {
     callers.emplace_back([&, i]() {
@@ -185,9 +186,11 @@
       fleet.target(i).SetRunTime(Milliseconds(800));
     }
   });
+  constexpr int kCallers = 3;
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   std::atomic<int> answered{0};
-  for (int i = 0; i < 3; ++i) {
+  for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back([&, i]() {
       const Result<HttpReply> reply = fleet.Send(0, fmt::format("stop-{}", i));
       answered += reply && reply.value().status == 200 ? 1 : 0;
@@ -198,13 +201,40 @@
   for (std::thread& caller : callers) {
     caller.join();
   }
-  CHECK(answered == 3);
+  CHECK(answered == kCallers);
   CHECK(fleet.instance(0).Wait(std::chrono::seconds(6)) == 0);
   fleet.OnLoop([&]() {
     CHECK(fleet.store().Count("redwinginstances") == kInstances - 1);
   });
 }
 
+TEST_CASE("a request whose caller has left meanwhile is not sent on") {
+  PlatformStandIn fleet(1);
+  REQUIRE(fleet.AwaitReady(kStartLimit));
+  constexpr int kRequests = 20;
+  // Opens the connections to the targets, so that a request can go at once.
+  for (int i = 0; i < kRequests; ++i) {
+    REQUIRE(fleet.Send(0, fmt::format("before-{}", i)));
+  }
+  fleet.instance(0).Signal(SIGSTOP);
+  for (int i = 0; i < kRequests; ++i) {
+    // Returns when the limit has passed, and closes the connection.
+    SendRaw(fleet.front(0),
+            fmt::format("GET /safe/1 HTTP/1.1\r\nHost: shop.example\r\n"
+                        "X-Redwingcart-Request-Id: left-{0}\r\n"
+                        "X-Redwingcart-Affinity-Key: before-{0}\r\n"
+                        "X-Redwingcart-Deadline-Ms: 3000\r\n"
+                        "Authorization: Bearer key-one\r\n\r\n",
+                        i),
+            Milliseconds(20));
+  }
+  fleet.instance(0).Signal(SIGCONT);
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  for (int i = 0; i < kRequests; ++i) {
+    CHECK(fleet.RunsOf(fmt::format("left-{}", i)) == 0);
+  }
+}
+
 TEST_CASE("a reload cuts nothing") {
   PlatformStandIn fleet(2);
   REQUIRE(fleet.AwaitReady(kStartLimit));
--- a/testing/platform_stand_in/platform_stand_in.cc
+++ b/testing/platform_stand_in/platform_stand_in.cc
@@ -26,7 +26,6 @@
 constexpr int kFirstTargetHost = 100;
 constexpr int kHostsPerNetwork = 250;
 constexpr Milliseconds kCallTimeout{8'000};
-constexpr Milliseconds kReadyPoll{50};
 
 std::string RegionName(int index) {
   return fmt::format("region-{}", index % kRegions);
