--- a/src/framework/http/core_module.h
+++ b/src/framework/http/core_module.h
@@ -16,8 +16,7 @@
  public:
   // Connections are opened from `source_address`, an IP number; empty lets the
   // system choose.
-  explicit CoreModule(std::string source_address)
-      : source_address_(std::move(source_address)) {}
+  explicit CoreModule(std::string source_address);
   ~CoreModule() override;
 
   std::string_view Name() const override { return "core"; }
--- a/src/framework/http/internal/core_module.cc
+++ b/src/framework/http/internal/core_module.cc
@@ -13,6 +13,9 @@
 constexpr Milliseconds kFlushInterval{100};
 }  // namespace
 
+CoreModule::CoreModule(std::string source_address)
+    : source_address_(std::move(source_address)) {}
+
 CoreModule::~CoreModule() = default;
 
 void CoreModule::ResolveDependencies(Kernel& kernel) {
