--- a/testing/fuzz/fuzz.cc
+++ b/testing/fuzz/fuzz.cc
@@ -6,6 +6,7 @@
 #include <array>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <map>
 #include <random>
 #include <string>
 #include <vector>
@@ -25,7 +26,12 @@
 #include "framework/wire/envelope_codec.h"
 #include "framework/wire/payload.h"
 #include "membership/heartbeat.h"
+#include "membership/instance_record.h"
+#include "platform/manifest_decoder.h"
+#include "platform/node_settings.h"
+#include "platform/target_decoder.h"
 #include "routing/key_prefix.h"
+#include "routing/target_load.h"
 #include "steering/section_parser.h"
 #include "steering/steering_document.h"
 
@@ -130,6 +136,24 @@
   ParseBoundKey(bytes);
 }
 
+// What the users' platform hands over: settings, manifest, entries of targets.
+void FuzzPlatform(const std::string& text) {
+  static const std::map<std::string, std::string> zones = {{"z", "r"}};
+  (void)platform::NodeSettings::Parse(text);
+  TargetLoad::Parse(text);
+  const nlohmann::json value =
+      nlohmann::json::parse(text, nullptr, /*allow_exceptions=*/false);
+  (void)platform::DecodeTarget("i-1", value, zones);
+  (void)DecodeInstanceRecord({"", "i-1", "1", value});
+  const Result<std::vector<StateEntry>> entries =
+      platform::ManifestDecoder(zones).Decode(value, 1);
+  if (entries) {
+    for (const StateEntry& entry : entries.value()) {
+      (void)ParseSection("platform", entry.body);
+    }
+  }
+}
+
 struct Corpus {
   void (*function)(const std::string&);
   std::vector<std::string> texts;
@@ -170,6 +194,24 @@
         EnvelopeCodec({kSecret}).Encode(
             {"a", 1, 2, MessageKind::kHeartbeat, "p"}),
         HopSigner({kSecret}).Sign(HopToken())}},
+      {&FuzzPlatform,
+       {"self.node=n\nself.zone=z\nself.region=r\nself.ip=127.0.0.1\n"
+        "network.zones.z=r\nnetwork.portRange=1,9\n"
+        "terms.bounds.grace=6s\nterms.bounds.contact=1500ms\n",
+        R"({"service": "s", "address": "127.0.0.1:1", "zone": "z",
+            "version": "v1", "slots": 3, "state": "ready",
+            "warmup_time": "2.5s", "seq": 4, "born": 1700000000000})",
+        R"({"version": "r1", "limits": {"maxHeaderBytes": 1024,
+            "maxBodyBytes": 1024, "headerTimeout": "3s", "idleTimeout": "9s"},
+            "services": {"columns": ["name", "warmup", "warmupPerS"],
+             "rows": [["s", "3s", 18.0]]},
+            "routes": {"columns": ["name", "host", "pathPrefix", "kind",
+             "timeout", "targetLatency", "trafficSplit"],
+             "rows": [["a", "h", "/x/", "safe", "1s", "100ms",
+              [{"service": "s", "weight": 9}]]]},
+            "tenants": {"columns": ["name", "apiKeys"],
+             "rows": [["t", ["k"]]]}})",
+        "3,0,8"}},
   };
 }
 
@@ -191,7 +233,7 @@
           Mutate(corpus.texts[random() % corpus.texts.size()], random));
     }
   }
-  fmt::print("{} cases of 4 kinds, seed {}: no fault\n", cases, seed);
+  fmt::print("{} cases of 5 kinds, seed {}: no fault\n", cases, seed);
   return kExitOk;
 }
 
