Pulls from other regions: four a second in all, not one from each peer in two seconds

Ruled out: the store (the other regions had it after 0.1 s), processor. Change: the limit is a class of its own: 100 ms for each peer of the own region, 250 ms for those of all other regions together.

--- a/src/config/internal/peer_sync.cc
+++ b/src/config/internal/peer_sync.cc
@@ -20,8 +20,6 @@
 
 namespace {
 constexpr Milliseconds kPullTimeout{2000};
-constexpr Milliseconds kPullInterval{100};
-constexpr Milliseconds kRemotePullInterval{2'000};
 constexpr Milliseconds kPushInterval{100};
 constexpr Milliseconds kPushFor{60'000};
 constexpr size_t kPerDatagram = 50;
@@ -119,15 +117,10 @@
       heartbeat.withdrawn_hash == keys_->withdrawn_hash()) {
     return true;
   }
-  const TimePoint now = Clock::now();
-  TimePoint& last = pulls_[name];
   const Member* const member = membership_->Find(name);
   const bool near = member != nullptr && member->region == identity_->region;
-  // Other regions mostly tell of what the own region's watchers see as well.
-  const Milliseconds interval =
-      near || !state_->complete() ? kPullInterval : kRemotePullInterval;
-  if (now - last >= interval) {
-    last = now;
+  // An instance without a complete state asks whoever has one.
+  if (pulls_.MayPull(name, near || !state_->complete(), Clock::now())) {
     Spawn(io_, [this, name](const Yield& yield) { Pull(name, yield); });
   }
   return false;
--- a/src/config/internal/peer_sync.h
+++ b/src/config/internal/peer_sync.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "config/internal/pull_limiter.h"
 #include "config/state_entry.h"
 #include "config/withdrawals.h"
 #include "framework/http/http_types.h"
@@ -66,8 +67,7 @@
   std::shared_ptr<StateFeed> feed_;
   std::shared_ptr<PeerTransport> transport_;
   std::shared_ptr<Membership> membership_;
-  // When a pull from each peer was last begun.
-  std::map<std::string, TimePoint> pulls_;
+  PullLimiter pulls_;
   std::map<std::string, Push> pushes_;
   bool beat_scheduled_ = false;
   PeriodicTask push_task_;
--- /dev/null
+++ b/src/config/internal/pull_limiter.h
@@ -0,0 +1,31 @@
+#ifndef REDWING_CONFIG_INTERNAL_PULL_LIMITER_H_
+#define REDWING_CONFIG_INTERNAL_PULL_LIMITER_H_
+
+#include <map>
+#include <string>
+
+#include "framework/kernel/clock.h"
+
+namespace redwing {
+
+// Bounds how often state is pulled from peers whose state differs. Peers of the
+// own region are asked each for itself; those of other regions together, since
+// what one of them has, the others mostly have as well.
+class PullLimiter {
+ public:
+  static constexpr Milliseconds kNearInterval{100};
+  // Bytes between regions are dear; yet a region whose own readers of the store
+  // are cut off hears of changes in this way alone.
+  static constexpr Milliseconds kRemoteInterval{250};
+
+  // Returns whether to pull from a peer now, and notes it.
+  bool MayPull(const std::string& peer, bool near, TimePoint now);
+
+ private:
+  std::map<std::string, TimePoint> near_;
+  TimePoint remote_;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_CONFIG_INTERNAL_PULL_LIMITER_H_
