--- a/src/framework/kernel/clock.h
+++ b/src/framework/kernel/clock.h
@@ -18,7 +18,8 @@
   using time_point = std::chrono::time_point<Clock>;
 
   // Named by the standard's requirements for clocks.
-  static constexpr bool is_steady = true;  // NOLINT(readability-identifier-naming)
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  static constexpr bool is_steady = true;
 
   static time_point now() noexcept {
     timespec time{};
