One list of the statuses that promise that nothing was run

Change: PromisesNotRun() of framework/http/refusal.h serves both; behaviour is the same. Checks: it builds without warnings, format is clean, platform_test_fleet 'a lost answer' ran with the rebuilt program; the other tests were not relinked.

--- a/src/delivery/internal/upstream_attempt.cc
+++ b/src/delivery/internal/upstream_attempt.cc
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 #include "budget/budgets.h"
@@ -26,13 +25,6 @@
 constexpr Milliseconds kBodyPause{10'000};
 constexpr Milliseconds kMaxBodyTime{600'000};
 constexpr unsigned kMisdirectedStatus = 421;
-// Statuses by which an entry promises that a request was not run.
-constexpr std::array<unsigned, 4> kPromises = {408, 421, 429, 503};
-
-bool Promises(unsigned status) {
-  return std::find(kPromises.begin(), kPromises.end(), status) !=
-         kPromises.end();
-}
 }  // namespace
 
 Result<void> UpstreamAttempt::Run(RequestBody& body,
@@ -195,7 +187,7 @@
                    "the answer is not the target's own",
                    {}};
   }
-  if (plan_.runs_once && Promises(status)) {
+  if (plan_.runs_once && PromisesNotRun(status)) {
     // Handed on, it would tell the caller that nothing was run.
     connection_->Abort();
     return Failure{Errc::kTargetBroken,
--- a/src/framework/http/internal/refusal.cc
+++ b/src/framework/http/internal/refusal.cc
@@ -19,11 +19,6 @@
       (failure.retry_after.count() + kMillisPerSecond - 1) / kMillisPerSecond);
 }
 
-// Statuses that callers take for a promise that nothing was run.
-bool PromisesNotRun(unsigned status) {
-  return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 // Returns the status of a failure: a promise that nothing was run where that is
 // known, and never where it is not.
 unsigned StatusOf(const Failure& failure) {
@@ -52,6 +47,10 @@
 
 }  // namespace
 
+bool PromisesNotRun(unsigned status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 std::string RefusalBody(const Failure& failure) {
   nlohmann::json body = {{"error", ErrcName(failure.errc)},
                          {"verdict", VerdictName(failure.verdict)},
--- a/src/framework/http/refusal.h
+++ b/src/framework/http/refusal.h
@@ -16,6 +16,9 @@
 // field; with Retry-After (whole seconds, at least 1) when the failure says
 // when to come back.
 
+// Returns whether callers take a status for a promise that nothing was run.
+bool PromisesNotRun(unsigned status);
+
 std::string RefusalBody(const Failure& failure);
 ResponseHeader RefusalHeader(const Failure& failure);
 
