An answer's body is checked against the digest that its head names

Ruled out: the entry mixing answers (each piece logged by the proxy). Change: the field Content-Digest of RFC 9530 is verified where a target names one; the end of an answer that does not match is withheld, so the caller sees that it is not whole. The stand-in names digests in this test.

--- a/src/delivery/internal/upstream_attempt.cc
+++ b/src/delivery/internal/upstream_attempt.cc
@@ -7,7 +7,9 @@
 
 #include "budget/budgets.h"
 #include "delivery/internal/header_rules.h"
+#include "delivery/internal/link_estimate.h"
 #include "delivery/internal/request_body.h"
+#include "framework/http/content_digest.h"
 #include "framework/http/http_exchange.h"
 #include "framework/http/refusal.h"
 #include "framework/kernel/cancellation.h"
@@ -19,8 +21,6 @@
 namespace {
 constexpr size_t kPiece = 16 * 1024;       // bytes
 constexpr size_t kMaxRefusal = 64 * 1024;  // bytes
-// Charged to a link for the head of an answer.
-constexpr size_t kHeaderBytes = 512;
 constexpr size_t kAttemptIdBytes = 8;
 constexpr Milliseconds kBodyPause{10'000};
 constexpr Milliseconds kMaxBodyTime{600'000};
@@ -123,6 +123,8 @@
     return read.error();
   }
   const ResponseHeader& header = connection_->response();
+  digest_ =
+      ContentDigest::Parse(StdView(header[BeastView(ContentDigest::kField)]));
   if (!IsOwnAnswer()) {
     connection_->Abort();
     metrics_
@@ -233,6 +235,10 @@
 Result<void> UpstreamAttempt::Relay(HttpExchange& exchange,
                                     const Yield& yield) {
   if (connection_->body_done()) {
+    const bool is_head = exchange.request().method() == http::verb::head;
+    if (!is_head && !IsOwnBody({}, true)) {
+      return MayHaveRun(Errc::kTargetBroken, "the answer has lost its body");
+    }
     exchange.BeginResponse(CallerHeader());
     exchange.WriteBody(nullptr, 0, true, yield);
     return boost::outcome_v2::success();
@@ -266,6 +272,13 @@
           Errc::kTargetBroken, Verdict::kRan, "the answer broke off", {}};
     }
     if (size.value() == 0) {
+      if (!IsOwnBody(answer.body, true)) {
+        connection_->Abort();
+        return Failure{Errc::kTargetBroken,
+                       Verdict::kRan,
+                       "the body is not the one that its digest names",
+                       {}};
+      }
       answer_ = std::move(answer);
       return boost::outcome_v2::success();
     }
@@ -284,9 +297,13 @@
   const std::unique_ptr<char[]> buffer =
       std::make_unique_for_overwrite<char[]>(kPiece);
   std::string_view piece = held;
-  size_t uncharged_header = kHeaderBytes;
+  size_t uncharged_header = kLinkHeaderBytes;
   while (true) {
     const bool last = connection_->body_done();
+    if (!IsOwnBody(piece, last)) {
+      BreakOff(exchange);
+      return;
+    }
     const bool paced =
         Pace(plan_.response_link, &plan_.response_prepaid,
              piece.size() + std::exchange(uncharged_header, 0), end, yield);
@@ -306,18 +323,38 @@
     const Result<size_t> size =
         connection_->ReadBody(buffer.get(), kPiece, yield);
     if (!size) {
-      cut_ = true;
-      metrics_
-          .Get("redwing_answers_cut_total",
-               "Answers that broke off at the target, in answers")
-          .Add();
-      exchange.Break();
+      BreakOff(exchange);
       return;
     }
     piece = {buffer.get(), size.value()};
   }
 }
 
+bool UpstreamAttempt::IsOwnBody(std::string_view piece, bool last) {
+  if (!digest_) {
+    return true;
+  }
+  digest_->Add(piece);
+  if (!last || digest_->Matches()) {
+    return true;
+  }
+  metrics_
+      .Get("redwing_answers_altered_total",
+           "Answers whose body is not the one their digest names, in answers")
+      .Add();
+  return false;
+}
+
+void UpstreamAttempt::BreakOff(HttpExchange& exchange) {
+  cut_ = true;
+  metrics_
+      .Get("redwing_answers_cut_total",
+           "Answers that broke off at the target, in answers")
+      .Add();
+  connection_->Abort();
+  exchange.Break();
+}
+
 bool UpstreamAttempt::Pace(const std::string& link,
                            double* prepaid,
                            size_t bytes,
--- a/src/delivery/internal/upstream_attempt.h
+++ b/src/delivery/internal/upstream_attempt.h
@@ -10,6 +10,7 @@
 #include "delivery/internal/idempotency_table.h"
 #include "framework/errors/result.h"
 #include "framework/http/connection_pool.h"
+#include "framework/http/content_digest.h"
 #include "framework/http/http_types.h"
 #include "routing/target_load.h"
 
@@ -95,6 +96,11 @@
   void StreamRest(HttpExchange& exchange,
                   std::string_view held,
                   const Yield& yield);
+  // Takes the next piece of the answer's body. Returns whether it may go on to
+  // the caller: false when the whole body is not the one its digest names.
+  bool IsOwnBody(std::string_view piece, bool last);
+  // Ends an answer that has begun so that the caller sees that it is not whole.
+  void BreakOff(HttpExchange& exchange);
   // Waits until a link has room for what is not prepaid; false when that takes
   // too long.
   bool Pace(const std::string& link,
@@ -112,6 +118,8 @@
   ConnectionPool::ConnectionPtr connection_;
   std::optional<StoredAnswer> answer_;
   std::string attempt_id_;
+  // Nothing when the answer names none.
+  std::optional<ContentDigest> digest_;
   bool cut_ = false;
   bool server_error_ = false;
   std::optional<TargetLoad> load_;
--- a/testing/fake_target/fake_target.cc
+++ b/testing/fake_target/fake_target.cc
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <cmath>
 
+#include "framework/http/content_digest.h"
 #include "framework/http/url.h"
 #include "framework/kernel/sleep.h"
 #include "framework/kernel/timer.h"
@@ -118,6 +119,7 @@
   behaviour_.slots = body.value("slots", behaviour_.slots);
   behaviour_.queue = body.value("queue", behaviour_.queue);
   behaviour_.leaving = body.value("leaving", behaviour_.leaving);
+  behaviour_.digests = body.value("digests", behaviour_.digests);
   if (body.contains("cold_requests")) {
     behaviour_.cold_requests = body.value("cold_requests", 0);
     behaviour_.cold_factor = body.value("cold_factor", 10);
@@ -147,7 +149,7 @@
     json runs = json::array();
     for (const TargetRun& run : owner_.runs()) {
       runs.push_back({run.at_us, run.target, run.token, run.workspace,
-                      run.key_seen, run.finished});
+                      run.key_seen, run.finished, run.arrived_us});
     }
     SendJson(exchange, 200, runs, yield);
     return;
@@ -175,13 +177,12 @@
     SleepFor(owner_.kernel().io(), kForever, yield);
     return;
   }
+  TargetRun run;
+  run.arrived_us = SinceStart();
   if (!AcquireSlot(yield)) {
     return;
   }
-  TargetRun run;
-  run.at_us =
-      std::chrono::duration_cast<Microseconds>(Clock::now() - owner_.started())
-          .count();
+  run.at_us = SinceStart();
   run.target = name_;
   run.token = exchange.Header("X-Token");
   run.workspace = exchange.Header("X-Redwing-Workspace");
@@ -236,6 +237,9 @@
   header.result(mode == "error" ? 500 : 200);
   header.set("X-Token", token);
   header.set("X-Checksum", std::to_string(Hash64(body)));
+  if (behaviour_.digests) {
+    header.set(BeastView(ContentDigest::kField), ContentDigestOf(body));
+  }
   header.set("X-Load", fmt::format("{}/{}", used_, behaviour_.slots));
   header.set("X-Redwing-Attempt",
              BeastView(exchange.Header("X-Redwing-Attempt")));
@@ -278,6 +282,12 @@
   }
 }
 
+int64_t FakeTargetSite::SinceStart() const {
+  return std::chrono::duration_cast<Microseconds>(Clock::now() -
+                                                  owner_.started())
+      .count();
+}
+
 bool FakeTargetSite::AcquireSlot(const Yield& yield) {
   if (used_ < behaviour_.slots && waiters_.empty()) {
     ++used_;
--- a/testing/fake_target/fake_target.h
+++ b/testing/fake_target/fake_target.h
@@ -29,6 +29,8 @@
   int cold_requests = 0;
   int cold_factor = 10;
   bool leaving = false;
+  // Names the digest of each answer's body.
+  bool digests = false;
 };
 
 // One run of a request, as the target saw it.
@@ -39,6 +41,8 @@
   std::string workspace;
   bool key_seen = false;
   bool finished = false;
+  // Before it waited for a slot.
+  int64_t arrived_us = 0;
 };
 
 class FakeTargetSite;
@@ -99,6 +103,7 @@
   bool AcquireSlot(const Yield& yield);
   void ReleaseSlot();
   Milliseconds ServiceTime();
+  int64_t SinceStart() const;
 
   FakeTargets& owner_;
   std::string name_;
--- a/testing/fault_proxy/links.cc
+++ b/testing/fault_proxy/links.cc
@@ -7,6 +7,7 @@
 #include "framework/kernel/sleep.h"
 #include "framework/kernel/spawn.h"
 #include "framework/kernel/timer.h"
+#include "framework/log/log.h"
 
 namespace redwing::testing {
 
@@ -48,9 +49,18 @@
 };
 CrossedPiece g_waiting_piece;
 
+std::string_view FirstLine(std::string_view bytes) {
+  constexpr size_t kShown = 24;  // bytes
+  return bytes.substr(0, std::min(bytes.find('\r'), kShown));
+}
+
 // Waits for another connection's piece and swaps the two.
 void Cross(FaultProxy& proxy, std::string* bytes, const Yield& yield) {
   if (g_waiting_piece.bytes != nullptr) {
+    spdlog::info("swapped {} bytes '{}' with {} bytes '{}'",
+                 g_waiting_piece.bytes->size(),
+                 FirstLine(*g_waiting_piece.bytes), bytes->size(),
+                 FirstLine(*bytes));
     std::swap(*g_waiting_piece.bytes, *bytes);
     g_waiting_piece.bytes = nullptr;
     return;
--- a/testing/integration/crossed_test_fleet.cc
+++ b/testing/integration/crossed_test_fleet.cc
@@ -20,6 +20,7 @@
 TEST_CASE("answers of targets are crossed between connections") {
   Fleet fleet(SmallPlan(1, 2, kRate, kBurst));
   fleet.Start();
+  fleet.SetTargets({{"digests", true}});
   const std::string key = fleet.IssueKey("alpha");
   const std::unique_ptr<Process> load =
       fleet.BeginLoad(FleetLoad(key, 1, 200, 5000), "crossed");
