Traffic moves between regions little by little

Cause: each request goes where its answer is expected first, so once the near queues pass the way to the next region, most keys move at the same time, and back as quickly. Change: ShiftLimiter bounds the change of the part that runs elsewhere, up and down, from one window to the next; not where the own region has just lost slots (RoomHistory). The platform gives the bound (maxShift).

--- a/src/routing/internal/led_placement.cc
+++ b/src/routing/internal/led_placement.cc
@@ -37,12 +37,14 @@
 LedPlacement::LedPlacement(std::shared_ptr<Identity> identity,
                            std::shared_ptr<Membership> membership,
                            std::shared_ptr<SteeringConfig> config,
-                           std::shared_ptr<LocalTargetRouter> router)
+                           std::shared_ptr<LocalTargetRouter> router,
+                           double max_shift)
     : identity_(identity),
       membership_(membership),
       config_(std::move(config)),
       router_(std::move(router)),
-      leaders_(std::move(identity), std::move(membership)) {
+      leaders_(std::move(identity), std::move(membership)),
+      shift_(max_shift) {
   membership_->AddBeatSource([this](Heartbeat& heartbeat) {
     router_->ReportTargets(
         [this](const Target& target) { return leaders_.IsOwn(target); },
@@ -61,12 +63,32 @@
     return NotRun(Errc::kNoTarget, "the service does not exist",
                   kNoTargetRetry);
   }
-  const ServiceTimes times = router_->TimesOf(request.service);
   std::vector<PlaceCandidate> candidates;
   std::vector<const Target*> targets;
+  ListCandidates(request, *service, &candidates, &targets);
+  if (candidates.empty()) {
+    return NotRun(Errc::kNoTarget, "no target takes work", kNoTargetRetry);
+  }
+  const std::optional<size_t> best = Choose(request, *service, &candidates);
+  if (!best) {
+    return NotRun(Errc::kQueueFull, "no target has a slot in time",
+                  ShortestWait(candidates));
+  }
+  const Target& target = *targets[*best];
+  const std::string& leader = leaders_.LeaderOf(target);
+  visited_[target.name].Add(Hash64(request.affinity_key));
+  return Place{target.name, target.region,
+               leader == identity_->name ? "" : leader,
+               Milliseconds(static_cast<int64_t>(candidates[*best].expected))};
+}
+
+void LedPlacement::ListCandidates(const PlaceRequest& request,
+                                  const Service& service,
+                                  std::vector<PlaceCandidate>* candidates,
+                                  std::vector<const Target*>* targets) {
   const uint64_t key_hash = Hash64(request.affinity_key);
-  std::map<std::string, size_t> regions = {{identity_->region, 0}};
-  for (const Target& target : service->targets) {
+  std::map<std::string, size_t> regions = {{identity_->region, kNearRegion}};
+  for (const Target& target : service.targets) {
     if (router_->IsClosed(target) || !request.may_run_in(target.region)) {
       continue;
     }
@@ -82,24 +104,39 @@
         !Describe(target, leader, &candidate)) {
       continue;
     }
-    candidates.push_back(candidate);
-    targets.push_back(&target);
+    candidates->push_back(candidate);
+    targets->push_back(&target);
   }
-  if (candidates.empty()) {
-    return NotRun(Errc::kNoTarget, "no target takes work", kNoTargetRetry);
+}
+
+std::optional<size_t> LedPlacement::Choose(
+    const PlaceRequest& request,
+    const Service& service,
+    std::vector<PlaceCandidate>* candidates) {
+  const TimePoint now = Clock::now();
+  const ServiceTimes times = router_->TimesOf(request.service);
+  const double max_wait = static_cast<double>(request.max_wait.count());
+  // Where a request may not run in the own region, nothing moves.
+  const bool bound =
+      request.may_run_in(identity_->region) && !HasLostRoom(service, now);
+  const ShiftBound shift = bound ? shift_.BoundAt(now) : ShiftBound::kAnywhere;
+  const std::optional<size_t> best =
+      ChoosePlace(times, max_wait, shift, candidates);
+  if (best && request.may_run_in(identity_->region)) {
+    shift_.Record((*candidates)[*best].region != kNearRegion, now);
   }
-  const std::optional<size_t> best = ChoosePlace(
-      times, static_cast<double>(request.max_wait.count()), &candidates);
-  if (!best) {
-    return NotRun(Errc::kQueueFull, "no target has a slot in time",
-                  ShortestWait(candidates));
+  return best;
+}
+
+bool LedPlacement::HasLostRoom(const Service& service, TimePoint now) {
+  int slots = 0;
+  for (const Target& target : service.targets) {
+    const bool takes_work = target.region == identity_->region &&
+                            !router_->IsClosed(target) &&
+                            IsUsable(target, leaders_.LeaderOf(target));
+    slots += takes_work ? target.slots : 0;
   }
-  const Target& target = *targets[*best];
-  const std::string& leader = leaders_.LeaderOf(target);
-  visited_[target.name].Add(key_hash);
-  return Place{target.name, target.region,
-               leader == identity_->name ? "" : leader,
-               Milliseconds(static_cast<int64_t>(candidates[*best].expected))};
+  return slots == 0 || room_.HasFallen(service.name, slots, now);
 }
 
 void LedPlacement::BeginForward(const Place& place) {
@@ -135,25 +172,18 @@
                             PlaceCandidate* candidate) const {
   candidate->slots = target.slots;
   candidate->travel = TravelTo(target.region, leader);
+  if (!IsUsable(target, leader)) {
+    return false;
+  }
   double slowness = 1;
   if (leader == identity_->name) {
     const TargetState* const state = router_->FindTarget(target);
-    if (state == nullptr || !state->Usable(Clock::now())) {
-      return false;
-    }
     candidate->work = state->outstanding() + router_->WaitingFor(target.name);
     slowness = state->slowness();
   } else {
-    const auto report =
-        reports_.find(static_cast<uint32_t>(Hash64(target.name)));
-    const bool believed = report != reports_.end() &&
-                          report->second.leader == leader &&
-                          Clock::now() - report->second.at < kReportAge;
-    if (believed && !report->second.usable) {
-      return false;
-    }
-    candidate->work = believed ? report->second.work : 0;
-    slowness = believed ? report->second.slowness : 1;
+    const Report* const report = ReportOf(target, leader);
+    candidate->work = report == nullptr ? 0 : report->work;
+    slowness = report == nullptr ? 1 : report->slowness;
     const auto own = forwarded_.find(target.name);
     if (own != forwarded_.end()) {
       candidate->work = std::max<double>(candidate->work, own->second);
@@ -164,6 +194,26 @@
   return true;
 }
 
+bool LedPlacement::IsUsable(const Target& target,
+                            const std::string& leader) const {
+  if (leader == identity_->name) {
+    const TargetState* const state = router_->FindTarget(target);
+    return state != nullptr && state->Usable(Clock::now());
+  }
+  const Report* const report = ReportOf(target, leader);
+  return !leader.empty() && (report == nullptr || report->usable);
+}
+
+const LedPlacement::Report* LedPlacement::ReportOf(
+    const Target& target,
+    const std::string& leader) const {
+  const auto report = reports_.find(static_cast<uint32_t>(Hash64(target.name)));
+  const bool believed = report != reports_.end() &&
+                        report->second.leader == leader &&
+                        Clock::now() - report->second.at < kReportAge;
+  return believed ? &report->second : nullptr;
+}
+
 double LedPlacement::TravelTo(const std::string& region,
                               const std::string& leader) const {
   if (leader == identity_->name) {
--- a/src/routing/internal/led_placement.h
+++ b/src/routing/internal/led_placement.h
@@ -3,12 +3,16 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "routing/internal/target_leaders.h"
 #include "routing/place_choice.h"
 #include "routing/placement.h"
 #include "routing/recent_keys.h"
+#include "routing/room_history.h"
+#include "routing/shift_limiter.h"
 
 namespace redwing {
 
@@ -18,6 +22,7 @@
 struct Heartbeat;
 struct Identity;
 struct Member;
+struct Service;
 struct Target;
 
 // Placement over the targets of all regions, by what their leaders report with
@@ -27,7 +32,8 @@
   LedPlacement(std::shared_ptr<Identity> identity,
                std::shared_ptr<Membership> membership,
                std::shared_ptr<SteeringConfig> config,
-               std::shared_ptr<LocalTargetRouter> router);
+               std::shared_ptr<LocalTargetRouter> router,
+               double max_shift);
 
   Result<Place> FindPlace(const PlaceRequest& request) override;
   void BeginForward(const Place& place) override;
@@ -43,11 +49,26 @@
     TimePoint at;
   };
 
+  // Lists the targets that may run a request.
+  void ListCandidates(const PlaceRequest& request,
+                      const Service& service,
+                      std::vector<PlaceCandidate>* candidates,
+                      std::vector<const Target*>* targets);
+  // Chooses among candidates as far as the traffic may move.
+  std::optional<size_t> Choose(const PlaceRequest& request,
+                               const Service& service,
+                               std::vector<PlaceCandidate>* candidates);
+  // Returns whether the own region has lost slots of a service lately.
+  bool HasLostRoom(const Service& service, TimePoint now);
   void ApplyReports(const Member& member, const Heartbeat& heartbeat);
   // Fills what is known of a target's load; false when it takes no work.
   bool Describe(const Target& target,
                 const std::string& leader,
                 PlaceCandidate* candidate) const;
+  // Returns whether a target takes work, as far as is known.
+  bool IsUsable(const Target& target, const std::string& leader) const;
+  // What a target's leader says of it; null when that is old or unknown.
+  const Report* ReportOf(const Target& target, const std::string& leader) const;
   double TravelTo(const std::string& region, const std::string& leader) const;
 
   std::shared_ptr<Identity> identity_;
@@ -63,6 +84,8 @@
   std::map<std::string, RecentKeys> visited_;
   // Smoothed round trip to the entries of a region, milliseconds.
   std::map<std::string, double> round_trips_;
+  ShiftLimiter shift_;
+  RoomHistory room_;
 };
 
 }  // namespace redwing
--- a/src/routing/internal/place_choice.cc
+++ b/src/routing/internal/place_choice.cc
@@ -1,6 +1,7 @@
 #include "routing/place_choice.h"
 
 #include <algorithm>
+#include <array>
 #include <numeric>
 #include <set>
 
@@ -14,10 +15,28 @@
   return ahead <= 0 ? 0 : ahead / candidate.slots * run;
 }
 
+struct Best {
+  std::optional<size_t> index;
+  double cost = 0;
+};
+
+std::optional<size_t> Settle(ShiftBound shift,
+                             const Best& near,
+                             const Best& far) {
+  if (shift == ShiftBound::kNearOnly || !far.index) {
+    return near.index;
+  }
+  if (shift == ShiftBound::kFarFirst || !near.index) {
+    return far.index;
+  }
+  return near.cost <= far.cost ? near.index : far.index;
+}
+
 }  // namespace
 
 std::optional<size_t> ChoosePlace(const ServiceTimes& times,
                                   double max_wait,
+                                  ShiftBound shift,
                                   std::vector<PlaceCandidate>* candidates) {
   std::vector<size_t> order(candidates->size());
   std::iota(order.begin(), order.end(), size_t{0});
@@ -25,11 +44,11 @@
     return (*candidates)[a].score > (*candidates)[b].score;
   });
   std::set<size_t> regions_seen;
-  std::optional<size_t> best;
-  double best_cost = 0;
+  // Of the near candidates, and of all others.
+  std::array<Best, 2> bests;
   for (const size_t index : order) {
     PlaceCandidate& candidate = (*candidates)[index];
-    const bool is_near = candidate.region == 0;
+    const bool is_near = candidate.region == kNearRegion;
     const bool own = regions_seen.insert(candidate.region).second;
     const bool warm = (own && is_near) || candidate.visited;
     const double warm_run = times.warm_ms() * candidate.slowness;
@@ -44,12 +63,12 @@
         candidate.wait > std::max(0.0, max_wait - candidate.travel)) {
       continue;
     }
-    if (!best || cost < best_cost) {
-      best = index;
-      best_cost = cost;
+    Best& best = bests[is_near ? 0 : 1];
+    if (!best.index || cost < best.cost) {
+      best = {index, cost};
     }
   }
-  return best;
+  return Settle(shift, bests[0], bests[1]);
 }
 
 }  // namespace redwing
--- a/src/routing/internal/routing_module.cc
+++ b/src/routing/internal/routing_module.cc
@@ -23,9 +23,9 @@
       kernel.io(), *kernel.Find<SocketRegistry>(), *kernel.Find<Metrics>(),
       identity, MakeTargetChoice(target_choice_), options_);
   if (options_.led_targets) {
-    placement_ =
-        std::make_shared<LedPlacement>(identity, kernel.Find<Membership>(),
-                                       kernel.Find<SteeringConfig>(), router_);
+    placement_ = std::make_shared<LedPlacement>(
+        identity, kernel.Find<Membership>(), kernel.Find<SteeringConfig>(),
+        router_, options_.max_shift);
     kernel.Register<Placement>(placement_);
   }
   kernel.Register<EntryLookup>(lookup_);
--- a/src/routing/place_choice.h
+++ b/src/routing/place_choice.h
@@ -7,9 +7,13 @@
 #include <vector>
 
 #include "routing/service_times.h"
+#include "routing/shift_limiter.h"
 
 namespace redwing {
 
+// The number of the region of a request's entry.
+inline constexpr size_t kNearRegion = 0;
+
 // A target as a candidate for one request.
 struct PlaceCandidate {
   int slots = 1;
@@ -21,8 +25,8 @@
   double travel = 0;
   // Rendezvous score of target and affinity key.
   uint64_t score = 0;
-  // Region, as a number; 0 is that of the request's entry.
-  size_t region = 0;
+  // Region, as a number.
+  size_t region = kNearRegion;
   // The key was sent there lately.
   bool visited = false;
   // Filled by ChoosePlace(): time until a slot is free and until the answer, in
@@ -41,10 +45,12 @@
 // cost more slots than they find.
 //
 // Returns the index of the candidate whose answer is expected first, of those
-// with a slot within `max_wait` milliseconds; of equal ones the one with the
+// with a slot within `max_wait` milliseconds and as far as `shift` allows; of
+// equal ones the one with the
 // highest score. Nothing when no candidate has a slot by then.
 std::optional<size_t> ChoosePlace(const ServiceTimes& times,
                                   double max_wait,
+                                  ShiftBound shift,
                                   std::vector<PlaceCandidate>* candidates);
 
 }  // namespace redwing
--- a/src/routing/target_router_options.h
+++ b/src/routing/target_router_options.h
@@ -17,6 +17,9 @@
   bool led_targets = false;
   // Ask targets for their health at an interval.
   bool polls_health = true;
+  // Largest part of an instance's requests that may move to other regions, or
+  // back, from one ShiftLimiter::kWindow to the next; 0 for no limit.
+  double max_shift = 0;
 };
 
 }  // namespace redwing
--- a/src/routing/tests/placement_load_test.cc
+++ b/src/routing/tests/placement_load_test.cc
@@ -4,59 +4,24 @@
 #include <algorithm>
 #include <array>
 #include <catch2/catch.hpp>
-#include <deque>
 #include <random>
 #include <vector>
 
 #include "framework/wire/digest.h"
 #include "routing/place_choice.h"
+#include "routing/tests/target_model.h"
 
 namespace redwing {
 namespace {
 
 constexpr int kTargets = 4;
-constexpr int kSlots = 3;
 // More than one target keeps warm, fewer than all of them do.
 constexpr int kObjects = 60;
-constexpr size_t kKeptWarm = 25;
-constexpr double kWarmMs = 190;
-constexpr double kColdMs = 640;
 constexpr double kAimMs = 500;
 constexpr double kPlayedMs = 60'000;
 // Runs that have not begun after the first objects are all cold.
 constexpr double kSettledMs = 10'000;
 
-struct ModelTarget {
-  // When each slot is free of all that it was promised to.
-  std::array<double, kSlots> busy_until{};
-  // Ends of all runs that have not ended, those that wait included.
-  std::vector<double> ends;
-  // Objects it keeps, the latest last.
-  std::deque<int> warm;
-
-  // Requests that run or wait.
-  double Work(double now) {
-    ends.erase(std::remove_if(ends.begin(), ends.end(),
-                              [now](double end) { return end <= now; }),
-               ends.end());
-    return static_cast<double>(ends.size());
-  }
-
-  // Handles an object; returns whether it was kept.
-  bool Handle(int object) {
-    const auto known = std::find(warm.begin(), warm.end(), object);
-    const bool kept = known != warm.end();
-    if (kept) {
-      warm.erase(known);
-    }
-    warm.push_back(object);
-    if (warm.size() > kKeptWarm) {
-      warm.pop_front();
-    }
-    return kept;
-  }
-};
-
 struct Outcome {
   int asked = 0;
   int in_time = 0;
@@ -70,7 +35,8 @@
 
 std::optional<size_t> ByExpectedTime(const ServiceTimes& times,
                                      std::vector<PlaceCandidate>* list) {
-  return ChoosePlace(times, kAimMs - times.warm_ms(), list);
+  return ChoosePlace(times, kAimMs - times.warm_ms(), ShiftBound::kAnywhere,
+                     list);
 }
 
 // The project's earlier choice: least outstanding, refused when all are full.
@@ -81,7 +47,7 @@
                        [](const PlaceCandidate& a, const PlaceCandidate& b) {
                          return a.work < b.work;
                        });
-  return least->work < kSlots
+  return least->work < TargetModel::kSlots
              ? std::optional<size_t>(static_cast<size_t>(least - list->begin()))
              : std::nullopt;
 }
@@ -90,14 +56,14 @@
   std::mt19937_64 random(seed);
   std::exponential_distribution<double> gap(per_second / 1000);
   std::uniform_int_distribution<int> object(0, kObjects - 1);
-  std::array<ModelTarget, kTargets> targets;
+  std::array<TargetModel, kTargets> targets;
   ServiceTimes times;
   Outcome outcome;
   for (double now = 0; now < kPlayedMs; now += gap(random)) {
     const int key = object(random);
     std::vector<PlaceCandidate> list(kTargets);
     for (size_t i = 0; i < list.size(); ++i) {
-      list[i].slots = kSlots;
+      list[i].slots = TargetModel::kSlots;
       list[i].score = Hash64(std::to_string(key) + "/" + std::to_string(i));
       list[i].work = targets[i].Work(now);
     }
@@ -108,16 +74,12 @@
       outcome.refused += counted ? 1 : 0;
       continue;
     }
-    ModelTarget& target = targets[*chosen];
-    double& slot =
-        *std::min_element(target.busy_until.begin(), target.busy_until.end());
-    const bool warm = target.Handle(key);
-    const double run = warm ? kWarmMs : kColdMs;
-    slot = std::max(slot, now) + run;
-    target.ends.push_back(slot);
-    times.Learn(warm, Milliseconds(static_cast<int64_t>(run)));
+    bool warm = false;
+    const double end = targets[*chosen].Run(key, now, &warm);
+    times.Learn(warm, Milliseconds(static_cast<int64_t>(
+                          warm ? TargetModel::kWarmMs : TargetModel::kColdMs)));
     outcome.cold += counted && !warm ? 1 : 0;
-    outcome.in_time += counted && slot - now <= kAimMs ? 1 : 0;
+    outcome.in_time += counted && end - now <= kAimMs ? 1 : 0;
   }
   return outcome;
 }
--- a/testing/integration/platform_test_fleet.cc
+++ b/testing/integration/platform_test_fleet.cc
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <map>
 #include <set>
 #include <thread>
 
@@ -29,6 +30,39 @@
   return std::string(StdView(reply.header[BeastView(name)]));
 }
 
+// Runs of a request by the index of the target's region, on targets that are
+// dealt over two regions in turn.
+std::set<size_t> RegionsThatRan(PlatformStandIn& fleet,
+                                const std::string& prefix) {
+  std::set<size_t> regions;
+  fleet.OnLoop([&]() {
+    for (size_t i = 0; i < fleet.target_count(); ++i) {
+      for (const TargetRun& run : fleet.target(i).runs()) {
+        if (run.request_id.compare(0, prefix.size(), prefix) == 0) {
+          regions.insert(i % 2);
+        }
+      }
+    }
+  });
+  return regions;
+}
+
+// Sends requests by way of all instances. Returns the statuses.
+std::map<unsigned, int> SendMany(PlatformStandIn& fleet,
+                                 const std::string& prefix,
+                                 const std::string& path = "/safe/1",
+                                 const std::string& key = "key-one") {
+  constexpr int kRequests = 40;
+  std::map<unsigned, int> statuses;
+  for (int i = 0; i < kRequests; ++i) {
+    const Result<HttpReply> reply =
+        fleet.Send(i % kInstances, fmt::format("{}-{}", prefix, i),
+                   http::verb::get, path, key);
+    ++statuses[reply ? reply.value().status : 0];
+  }
+  return statuses;
+}
+
 TEST_CASE("a request by host reaches a target with all that is its own") {
   PlatformStandIn fleet(kInstances);
   REQUIRE(fleet.AwaitReady(kStartLimit));
@@ -119,6 +153,43 @@
   fleet.OnLoop([&]() { CHECK(fleet.target(0).runs().size() == before); });
 }
 
+TEST_CASE("an evacuated failure domain gets nothing until it is taken back") {
+  PlatformStandIn fleet(kInstances);
+  REQUIRE(fleet.AwaitReady(kStartLimit));
+  SendMany(fleet, "before");
+  CHECK(RegionsThatRan(fleet, "before") == std::set<size_t>{0, 1});
+  fleet.OnLoop(
+      [&]() { fleet.store().Put("evacuations", "zone-0", json::object()); });
+  std::this_thread::sleep_for(kChangeLimit);
+  CHECK(SendMany(fleet, "during") == std::map<unsigned, int>{{200, 40}});
+  CHECK(RegionsThatRan(fleet, "during") == std::set<size_t>{1});
+  fleet.OnLoop([&]() { fleet.store().Remove("evacuations", "zone-0"); });
+  std::this_thread::sleep_for(kChangeLimit);
+  SendMany(fleet, "after");
+  CHECK(RegionsThatRan(fleet, "after").count(0) == 1);
+}
+
+TEST_CASE("homes of routes and workspaces bind, both where both have them") {
+  PlatformStandIn fleet(kInstances);
+  REQUIRE(fleet.AwaitReady(kStartLimit));
+  json changed = PlatformStandIn::Manifest(9);
+  const size_t homes_of_route = 11;
+  const size_t homes_of_workspace = 5;
+  changed["routes"]["rows"][0][homes_of_route] = {"region-1"};
+  changed["tenants"]["rows"][1][homes_of_workspace] = {"region-0"};
+  changed["tenants"]["rows"][1][3] = 0;  // no rate
+  fleet.PutManifest(changed);
+  std::this_thread::sleep_for(kChangeLimit);
+  CHECK(SendMany(fleet, "route") == std::map<unsigned, int>{{200, 40}});
+  CHECK(RegionsThatRan(fleet, "route") == std::set<size_t>{1});
+  const std::map<unsigned, int> refused =
+      SendMany(fleet, "both", "/safe/1", "key-two");
+  CHECK(refused.count(200) == 0);
+  CHECK(RegionsThatRan(fleet, "both").empty());
+  SendMany(fleet, "workspace", "/unsafe/1", "key-two");
+  CHECK(RegionsThatRan(fleet, "workspace") == std::set<size_t>{0});
+}
+
 TEST_CASE("a change is in force everywhere in time, keys included") {
   PlatformStandIn fleet(kInstances);
   REQUIRE(fleet.AwaitReady(kStartLimit));
--- a/testing/platform_stand_in/platform_stand_in.cc
+++ b/testing/platform_stand_in/platform_stand_in.cc
@@ -179,7 +179,7 @@
       "terms.bounds.contact=3000ms\nterms.bounds.grace=6s\n"
       "terms.bounds.ttl_max=5s\nterms.bounds.retryRatio=0.2\n"
       "terms.bounds.retrySlack=60\nterms.bounds.quotaSlack=20\n"
-      "terms.bounds.strictRevoke=false\n",
+      "terms.bounds.maxShift=0.15\nterms.bounds.strictRevoke=false\n",
       index, ZoneName(index), RegionName(index), Ip(index + 1), front(index),
       ready(index), directory(index), store_address_);
   for (int i = 0; i < kRegions; ++i) {
@@ -192,7 +192,8 @@
   const std::string path = fmt::format("{}/node-{}.conf", folder_, index);
   std::ofstream(path) << SettingsOf(index);
   instances_[index] = std::make_unique<Process>(
-      "redwing-steer", std::vector<std::string>{"--settings", path},
+      "redwing-steer",
+      std::vector<std::string>{"--log-to", "stderr", "--settings", path},
       fmt::format("{}/node-{}.log", folder_, index));
 }
 
