An answer without the attempt's id is not taken for the request's own

The proxy swaps parts of requests as well; a target then runs a request without the attempt's id, answers without it, and an answer without one was accepted, since not all targets repeat it. Change: a service says whether its targets do (echoes_attempt_ids).

--- a/src/delivery/internal/upstream_attempt.cc
+++ b/src/delivery/internal/upstream_attempt.cc
@@ -159,7 +159,7 @@
 bool UpstreamAttempt::IsOwnAnswer() const {
   const ResponseHeader& header = connection_->response();
   const boost::beast::string_view attempt = header[BeastView(kAttemptField)];
-  if (plan_.to_entry || !attempt.empty()) {
+  if (plan_.expects_echo || !attempt.empty()) {
     return StdView(attempt) == attempt_id_;
   }
   // Other targets need not echo anything.
--- a/src/delivery/internal/upstream_attempt.h
+++ b/src/delivery/internal/upstream_attempt.h
@@ -29,6 +29,8 @@
   TimePoint deadline;
   // The upstream is another entry, whose refusals carry a verdict.
   bool to_entry = false;
+  // The upstream repeats the attempt's id in its answers.
+  bool expects_echo = false;
   // Link budgets that the bytes are paced to; empty for none.
   std::string request_link;
   // Bytes of the request's body that were charged to request_link already.
--- a/src/delivery/internal/upstream_sender.cc
+++ b/src/delivery/internal/upstream_sender.cc
@@ -97,6 +97,7 @@
   ++delivery.sent;
   AttemptPlan plan = PlanFor(delivery);
   plan.endpoint = lease.value().state().endpoint();
+  plan.expects_echo = context.service->echoes_attempt_ids;
   plan.header.set(BeastView(options_.dialect.target_deadline),
                   std::to_string(context.left().count()));
   if (!options_.dialect.target_instance.empty()) {
@@ -155,6 +156,7 @@
   plan.header.target(target);
   plan.header.set(BeastView(kHopField), signer_.Sign(token));
   plan.to_entry = true;
+  plan.expects_echo = true;
   UpstreamAttempt attempt(pool_, *services_.budgets, metrics_, options_.dialect,
                           std::move(plan));
   const Result<void> result = attempt.Run(delivery.body, delivery.exchange,
--- a/src/steering/internal/section_parser.cc
+++ b/src/steering/internal/section_parser.cc
@@ -154,6 +154,7 @@
   Service service;
   service.name = ReadName(reader, "name");
   service.discovered = reader.Boolean("discovered", false);
+  service.echoes_attempt_ids = reader.Boolean("echoes_attempt_ids", false);
   service.warm_up =
       Milliseconds(reader.Integer("warm_up_ms", 0, kMaxTimeoutMs, 0));
   service.warm_up_rate = reader.Number("warm_up_rate_per_s", 0, kMaxRate, 0);
--- a/src/steering/service.h
+++ b/src/steering/service.h
@@ -15,6 +15,9 @@
   std::string name;
   // Its targets are those that the platform lists, beside the ones named here.
   bool discovered = false;
+  // Its targets repeat the id of each attempt in their answers, so that an
+  // answer without it is not the request's own.
+  bool echoes_attempt_ids = false;
   // How long a target that has just started stays cold, and the requests a
   // second that it bears meanwhile over the whole fleet; zero when unlimited.
   Milliseconds warm_up{0};
--- a/testing/harness/deployments.cc
+++ b/testing/harness/deployments.cc
@@ -101,6 +101,7 @@
        {{"team", "svc"},
         {"services",
          {{{"name", "svc"},
+           {"echoes_attempt_ids", true},
            {"routes",
             {RouteJson("read", "GET", "/", false, true),
              RouteJson("write", "POST", "/", false, false),
