Moves among all regions are bound, not only between near and far

Finding as before: the near part was bound, but what ran elsewhere moved from one region to another (17 to 57 in 100 within 3 s).

--- a/src/routing/internal/led_placement.cc
+++ b/src/routing/internal/led_placement.cc
@@ -44,6 +44,7 @@
       config_(std::move(config)),
       router_(std::move(router)),
       leaders_(std::move(identity), std::move(membership)),
+      region_numbers_({{identity_->region, kNearRegion}}),
       shift_(max_shift) {
   membership_->AddBeatSource([this](Heartbeat& heartbeat) {
     router_->ReportTargets(
@@ -69,7 +70,7 @@
   if (candidates.empty()) {
     return NotRun(Errc::kNoTarget, "no target takes work", kNoTargetRetry);
   }
-  const std::optional<size_t> best = Choose(request, *service, &candidates);
+  const std::optional<size_t> best = Choose(request, &candidates);
   if (!best) {
     return NotRun(Errc::kQueueFull, "no target has a slot in time",
                   ShortestWait(candidates));
@@ -87,7 +88,6 @@
                                   std::vector<PlaceCandidate>* candidates,
                                   std::vector<const Target*>* targets) {
   const uint64_t key_hash = Hash64(request.affinity_key);
-  std::map<std::string, size_t> regions = {{identity_->region, kNearRegion}};
   for (const Target& target : service.targets) {
     if (router_->IsClosed(target) || !request.may_run_in(target.region)) {
       continue;
@@ -95,7 +95,8 @@
     const std::string& leader = leaders_.LeaderOf(target);
     PlaceCandidate candidate;
     candidate.region =
-        regions.emplace(target.region, regions.size()).first->second;
+        region_numbers_.emplace(target.region, region_numbers_.size())
+            .first->second;
     candidate.score = Hash64(request.affinity_key + "/" + target.name);
     const auto visited = visited_.find(target.name);
     candidate.visited =
@@ -111,32 +112,38 @@
 
 std::optional<size_t> LedPlacement::Choose(
     const PlaceRequest& request,
-    const Service& service,
     std::vector<PlaceCandidate>* candidates) {
   const TimePoint now = Clock::now();
-  const ServiceTimes times = router_->TimesOf(request.service);
-  const double max_wait = static_cast<double>(request.max_wait.count());
-  // Where a request may not run in the own region, nothing moves.
-  const bool bound =
-      request.may_run_in(identity_->region) && !HasLostRoom(service, now);
-  const ShiftBound shift = bound ? shift_.BoundAt(now) : ShiftBound::kAnywhere;
+  const ShiftLimiter::Bounds bounds = shift_.BoundsAt(now);
+  const bool bound = !HasLostRoom(request, *candidates, now);
+  for (PlaceCandidate& candidate : *candidates) {
+    candidate.allowed = !bound || bounds.Allows(candidate.region);
+  }
   const std::optional<size_t> best =
-      ChoosePlace(times, max_wait, shift, candidates);
-  if (best && request.may_run_in(identity_->region)) {
-    shift_.Record((*candidates)[*best].region != kNearRegion, now);
+      ChoosePlace(router_->TimesOf(request.service),
+                  static_cast<double>(request.max_wait.count()), candidates);
+  if (best) {
+    shift_.Record((*candidates)[*best].region, now);
   }
   return best;
 }
 
-bool LedPlacement::HasLostRoom(const Service& service, TimePoint now) {
-  int slots = 0;
-  for (const Target& target : service.targets) {
-    const bool takes_work = target.region == identity_->region &&
-                            !router_->IsClosed(target) &&
-                            IsUsable(target, leaders_.LeaderOf(target));
-    slots += takes_work ? target.slots : 0;
+bool LedPlacement::HasLostRoom(const PlaceRequest& request,
+                               const std::vector<PlaceCandidate>& candidates,
+                               TimePoint now) {
+  std::vector<int> slots(region_numbers_.size());
+  for (const PlaceCandidate& candidate : candidates) {
+    slots[candidate.region] += candidate.slots;
+  }
+  bool lost = false;
+  for (const auto& [region, number] : region_numbers_) {
+    // Where a request may not run, it takes nothing away.
+    lost =
+        (request.may_run_in(region) &&
+         room_.HasFallen(request.service + "/" + region, slots[number], now)) ||
+        lost;
   }
-  return slots == 0 || room_.HasFallen(service.name, slots, now);
+  return lost;
 }
 
 void LedPlacement::BeginForward(const Place& place) {
--- a/src/routing/internal/led_placement.h
+++ b/src/routing/internal/led_placement.h
@@ -56,10 +56,11 @@
                       std::vector<const Target*>* targets);
   // Chooses among candidates as far as the traffic may move.
   std::optional<size_t> Choose(const PlaceRequest& request,
-                               const Service& service,
                                std::vector<PlaceCandidate>* candidates);
-  // Returns whether the own region has lost slots of a service lately.
-  bool HasLostRoom(const Service& service, TimePoint now);
+  // Returns whether a region has lost slots that a request could use lately.
+  bool HasLostRoom(const PlaceRequest& request,
+                   const std::vector<PlaceCandidate>& candidates,
+                   TimePoint now);
   void ApplyReports(const Member& member, const Heartbeat& heartbeat);
   // Fills what is known of a target's load; false when it takes no work.
   bool Describe(const Target& target,
@@ -84,6 +85,7 @@
   std::map<std::string, RecentKeys> visited_;
   // Smoothed round trip to the entries of a region, milliseconds.
   std::map<std::string, double> round_trips_;
+  std::map<std::string, size_t> region_numbers_;
   ShiftLimiter shift_;
   RoomHistory room_;
 };
--- a/src/routing/internal/place_choice.cc
+++ b/src/routing/internal/place_choice.cc
@@ -1,7 +1,6 @@
 #include "routing/place_choice.h"
 
 #include <algorithm>
-#include <array>
 #include <numeric>
 #include <set>
 
@@ -15,28 +14,10 @@
   return ahead <= 0 ? 0 : ahead / candidate.slots * run;
 }
 
-struct Best {
-  std::optional<size_t> index;
-  double cost = 0;
-};
-
-std::optional<size_t> Settle(ShiftBound shift,
-                             const Best& near,
-                             const Best& far) {
-  if (shift == ShiftBound::kNearOnly || !far.index) {
-    return near.index;
-  }
-  if (shift == ShiftBound::kFarFirst || !near.index) {
-    return far.index;
-  }
-  return near.cost <= far.cost ? near.index : far.index;
-}
-
 }  // namespace
 
 std::optional<size_t> ChoosePlace(const ServiceTimes& times,
                                   double max_wait,
-                                  ShiftBound shift,
                                   std::vector<PlaceCandidate>* candidates) {
   std::vector<size_t> order(candidates->size());
   std::iota(order.begin(), order.end(), size_t{0});
@@ -44,8 +25,8 @@
     return (*candidates)[a].score > (*candidates)[b].score;
   });
   std::set<size_t> regions_seen;
-  // Of the near candidates, and of all others.
-  std::array<Best, 2> bests;
+  std::optional<size_t> best;
+  double best_cost = 0;
   for (const size_t index : order) {
     PlaceCandidate& candidate = (*candidates)[index];
     const bool is_near = candidate.region == kNearRegion;
@@ -57,18 +38,18 @@
     candidate.wait = WaitAt(candidate, warm_run);
     candidate.expected = candidate.travel + candidate.wait + warm_run + extra;
     const double cost = candidate.expected + (kColdWeight - 1) * extra;
-    const bool allowed = own || (is_near && candidate.wait <= 0);
+    const bool wanted = own || (is_near && candidate.wait <= 0);
     // The way there takes its time as well.
-    if (!allowed ||
-        candidate.wait > std::max(0.0, max_wait - candidate.travel)) {
+    const double longest_wait = std::max(0.0, max_wait - candidate.travel);
+    if (!wanted || !candidate.allowed || candidate.wait > longest_wait) {
       continue;
     }
-    Best& best = bests[is_near ? 0 : 1];
-    if (!best.index || cost < best.cost) {
-      best = {index, cost};
+    if (!best || cost < best_cost) {
+      best = index;
+      best_cost = cost;
     }
   }
-  return Settle(shift, bests[0], bests[1]);
+  return best;
 }
 
 }  // namespace redwing
--- a/src/routing/internal/shift_limiter.cc
+++ b/src/routing/internal/shift_limiter.cc
@@ -1,65 +1,89 @@
 #include "routing/shift_limiter.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace redwing {
 
 namespace {
-// A part of fewer requests than these says little.
+// Parts of fewer requests than these say little.
 constexpr double kLeastRequests = 8;
-}  // namespace
+// Requests that may move beyond the part: of few, each is a large part.
+constexpr double kSlack = 2;
+
+double Total(const std::vector<double>& counts) {
+  return std::accumulate(counts.begin(), counts.end(), 0.0);
+}
 
-ShiftBound ShiftLimiter::BoundAt(TimePoint now) {
-  if (max_change_ <= 0) {
-    return ShiftBound::kAnywhere;
+void AddTo(std::vector<double>* sum,
+           const std::vector<double>& counts,
+           double sign) {
+  sum->resize(std::max(sum->size(), counts.size()));
+  for (size_t i = 0; i < counts.size(); ++i) {
+    (*sum)[i] += sign * counts[i];
   }
+}
+}  // namespace
+
+ShiftLimiter::Bounds ShiftLimiter::BoundsAt(TimePoint now) {
   Advance(now);
-  const Count before = Sum(kSlices);
-  if (before.all < kLeastRequests) {
-    return ShiftBound::kAnywhere;
+  const double all_before = Total(before_);
+  if (max_change_ <= 0 || all_before < kLeastRequests) {
+    return {};
+  }
+  const double all = Total(current_) + 1;
+  const size_t count = std::max(current_.size(), before_.size());
+  current_.resize(count);
+  before_.resize(count);
+  // What a region has more than before, in parts of all requests.
+  const auto gain = [this, all, all_before](size_t region, double more) {
+    return std::max(
+        0.0, (current_[region] + more) / all - before_[region] / all_before);
+  };
+  double moved = 0;
+  for (size_t i = 0; i < count; ++i) {
+    moved += gain(i, 0);
   }
-  const Count current = Sum(0);
-  const double part = before.far / before.all;
-  const double with_this = current.all + 1;
-  // One request is always allowed, else few requests could never move.
-  const double most = std::max(1.0, (part + max_change_) * with_this);
-  if (current.far + 1 > most) {
-    return ShiftBound::kNearOnly;
+  const double most = max_change_ + kSlack / all;
+  Bounds bounds;
+  bounds.others_allowed = moved + 1 / all <= most;
+  for (size_t i = 0; i < count; ++i) {
+    const double added = gain(i, 1) - gain(i, 0);
+    bounds.allowed.push_back(added <= 0 || moved + added <= most);
   }
-  const double least = (part - max_change_) * with_this - 1;
-  return current.far < least ? ShiftBound::kFarFirst : ShiftBound::kAnywhere;
+  return bounds;
 }
 
-void ShiftLimiter::Record(bool far, TimePoint now) {
+void ShiftLimiter::Record(size_t region, TimePoint now) {
   Advance(now);
-  Count& slice = slices_[static_cast<size_t>(newest_) % slices_.size()];
-  slice.all += 1;
-  slice.far += far ? 1 : 0;
+  Counts one(region + 1);
+  one[region] = 1;
+  AddTo(&SliceAt(newest_), one, 1);
+  AddTo(&current_, one, 1);
 }
 
 void ShiftLimiter::Advance(TimePoint now) {
   const int64_t slice =
       now.time_since_epoch() / (kWindow / static_cast<int64_t>(kSlices));
-  const int64_t passed =
-      std::min<int64_t>(slice - newest_, static_cast<int64_t>(slices_.size()));
-  for (int64_t i = 0; i < passed; ++i) {
-    slices_[static_cast<size_t>(slice - i) % slices_.size()] = {};
+  const int64_t size = static_cast<int64_t>(slices_.size());
+  if (slice - newest_ >= size) {
+    slices_ = {};
+    current_.clear();
+    before_.clear();
+    newest_ = slice;
+    return;
   }
-  newest_ = std::max(newest_, slice);
-}
-
-ShiftLimiter::Count ShiftLimiter::Sum(size_t first) const {
-  Count sum;
-  for (size_t i = first; i < first + kSlices; ++i) {
-    const int64_t slice = newest_ - static_cast<int64_t>(i);
-    if (slice < 0) {
-      break;
-    }
-    const Count& count = slices_[static_cast<size_t>(slice) % slices_.size()];
-    sum.all += count.all;
-    sum.far += count.far;
+  while (newest_ < slice) {
+    ++newest_;
+    // What was the newest window's oldest slice goes over to the one before,
+    // whose own oldest is forgotten and its place in the ring used again.
+    Counts& oldest = SliceAt(newest_);
+    AddTo(&before_, oldest, -1);
+    oldest.clear();
+    const Counts& passed = SliceAt(newest_ - static_cast<int64_t>(kSlices));
+    AddTo(&before_, passed, 1);
+    AddTo(&current_, passed, -1);
   }
-  return sum;
 }
 
 }  // namespace redwing
--- a/src/routing/place_choice.h
+++ b/src/routing/place_choice.h
@@ -7,7 +7,6 @@
 #include <vector>
 
 #include "routing/service_times.h"
-#include "routing/shift_limiter.h"
 
 namespace redwing {
 
@@ -29,6 +28,8 @@
   size_t region = kNearRegion;
   // The key was sent there lately.
   bool visited = false;
+  // Traffic may move to the region, or stay there.
+  bool allowed = true;
   // Filled by ChoosePlace(): time until a slot is free and until the answer, in
   // milliseconds.
   double wait = 0;
@@ -45,12 +46,11 @@
 // cost more slots than they find.
 //
 // Returns the index of the candidate whose answer is expected first, of those
-// with a slot within `max_wait` milliseconds and as far as `shift` allows; of
-// equal ones the one with the
-// highest score. Nothing when no candidate has a slot by then.
+// that are allowed and have a slot within `max_wait` milliseconds; of equal
+// ones the one with the highest score. Nothing when no candidate has a slot by
+// then.
 std::optional<size_t> ChoosePlace(const ServiceTimes& times,
                                   double max_wait,
-                                  ShiftBound shift,
                                   std::vector<PlaceCandidate>* candidates);
 
 }  // namespace redwing
