--- a/src/delivery/internal/place_sequence.cc
+++ b/src/delivery/internal/place_sequence.cc
@@ -77,6 +77,7 @@
                                   : TryLeader(delivery, place, yield);
   if (!result && IsRefusedBeforeSending(result.error().errc)) {
     ++delivery.refusals;
+    services_.placement->TakeBack(place);
   }
   return result;
 }
--- a/src/routing/internal/led_placement.cc
+++ b/src/routing/internal/led_placement.cc
@@ -88,21 +88,23 @@
                                   std::vector<PlaceCandidate>* candidates,
                                   std::vector<const Target*>* targets) {
   const uint64_t key_hash = Hash64(request.affinity_key);
+  slots_.assign(region_numbers_.size(), 0);
   for (const Target& target : service.targets) {
     if (router_->IsClosed(target) || !request.may_run_in(target.region)) {
       continue;
     }
     const std::string& leader = leaders_.LeaderOf(target);
     PlaceCandidate candidate;
-    candidate.region =
-        region_numbers_.emplace(target.region, region_numbers_.size())
-            .first->second;
+    candidate.region = NumberOf(target.region);
     candidate.score = Hash64(request.affinity_key + "/" + target.name);
     const auto visited = visited_.find(target.name);
     candidate.visited =
         visited != visited_.end() && visited->second.Contains(key_hash);
-    if (leader.empty() || request.tried_targets.count(target.name) > 0 ||
-        !Describe(target, leader, &candidate)) {
+    if (leader.empty() || !Describe(target, leader, &candidate)) {
+      continue;
+    }
+    slots_[candidate.region] += target.slots;
+    if (request.tried_targets.count(target.name) > 0) {
       continue;
     }
     candidates->push_back(candidate);
@@ -115,7 +117,7 @@
     std::vector<PlaceCandidate>* candidates) {
   const TimePoint now = Clock::now();
   const ShiftLimiter::Bounds bounds = shift_.BoundsAt(now);
-  const bool bound = !HasLostRoom(request, *candidates, now);
+  const bool bound = !HasLostRoom(request, now);
   for (PlaceCandidate& candidate : *candidates) {
     candidate.allowed = !bound || bounds.Allows(candidate.region);
   }
@@ -128,24 +130,22 @@
   return best;
 }
 
-bool LedPlacement::HasLostRoom(const PlaceRequest& request,
-                               const std::vector<PlaceCandidate>& candidates,
-                               TimePoint now) {
-  std::vector<int> slots(region_numbers_.size());
-  for (const PlaceCandidate& candidate : candidates) {
-    slots[candidate.region] += candidate.slots;
-  }
+bool LedPlacement::HasLostRoom(const PlaceRequest& request, TimePoint now) {
   bool lost = false;
   for (const auto& [region, number] : region_numbers_) {
     // Where a request may not run, it takes nothing away.
-    lost =
-        (request.may_run_in(region) &&
-         room_.HasFallen(request.service + "/" + region, slots[number], now)) ||
-        lost;
+    lost = (request.may_run_in(region) &&
+            room_.HasFallen(request.service + "/" + region, slots_[number],
+                            now)) ||
+           lost;
   }
   return lost;
 }
 
+void LedPlacement::TakeBack(const Place& place) {
+  shift_.TakeBack(region_numbers_.at(place.region), Clock::now());
+}
+
 void LedPlacement::BeginForward(const Place& place) {
   ++forwarded_[place.target];
 }
@@ -201,6 +201,14 @@
   return true;
 }
 
+size_t LedPlacement::NumberOf(const std::string& region) {
+  const auto known = region_numbers_.emplace(region, region_numbers_.size());
+  if (known.second) {
+    slots_.push_back(0);
+  }
+  return known.first->second;
+}
+
 bool LedPlacement::IsUsable(const Target& target,
                             const std::string& leader) const {
   if (leader == identity_->name) {
--- a/src/routing/internal/led_placement.h
+++ b/src/routing/internal/led_placement.h
@@ -36,6 +36,7 @@
                double max_shift);
 
   Result<Place> FindPlace(const PlaceRequest& request) override;
+  void TakeBack(const Place& place) override;
   void BeginForward(const Place& place) override;
   void EndForward(const Place& place,
                   std::optional<Milliseconds> round_trip) override;
@@ -58,9 +59,9 @@
   std::optional<size_t> Choose(const PlaceRequest& request,
                                std::vector<PlaceCandidate>* candidates);
   // Returns whether a region has lost slots that a request could use lately.
-  bool HasLostRoom(const PlaceRequest& request,
-                   const std::vector<PlaceCandidate>& candidates,
-                   TimePoint now);
+  bool HasLostRoom(const PlaceRequest& request, TimePoint now);
+  // Numbers the regions in the order in which they are met.
+  size_t NumberOf(const std::string& region);
   void ApplyReports(const Member& member, const Heartbeat& heartbeat);
   // Fills what is known of a target's load; false when it takes no work.
   bool Describe(const Target& target,
@@ -86,6 +87,8 @@
   // Smoothed round trip to the entries of a region, milliseconds.
   std::map<std::string, double> round_trips_;
   std::map<std::string, size_t> region_numbers_;
+  // Slots that take work, by region, for the request that is being placed.
+  std::vector<int> slots_;
   ShiftLimiter shift_;
   RoomHistory room_;
 };
--- a/src/routing/internal/shift_limiter.cc
+++ b/src/routing/internal/shift_limiter.cc
@@ -54,12 +54,12 @@
   return bounds;
 }
 
-void ShiftLimiter::Record(size_t region, TimePoint now) {
+void ShiftLimiter::Count(size_t region, double requests, TimePoint now) {
   Advance(now);
-  Counts one(region + 1);
-  one[region] = 1;
-  AddTo(&SliceAt(newest_), one, 1);
-  AddTo(&current_, one, 1);
+  Counts counts(region + 1);
+  counts[region] = requests;
+  AddTo(&SliceAt(newest_), counts, 1);
+  AddTo(&current_, counts, 1);
 }
 
 void ShiftLimiter::Advance(TimePoint now) {
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -37,6 +37,9 @@
   // kQueueFull, and the shortest wait, when none has a slot in time.
   virtual Result<Place> FindPlace(const PlaceRequest& request) = 0;
 
+  // Tells that the place had no room and the request did not run there.
+  virtual void TakeBack(const Place& place) = 0;
+
   // Tells of requests handed to other entries for a target.
   virtual void BeginForward(const Place& place) = 0;
   // `round_trip`: time that the way alone took, where it is known.
--- a/src/routing/shift_limiter.h
+++ b/src/routing/shift_limiter.h
@@ -32,13 +32,16 @@
   };
   Bounds BoundsAt(TimePoint now);
   // Counts a request that was given a place in a region.
-  void Record(size_t region, TimePoint now);
+  void Record(size_t region, TimePoint now) { Count(region, 1, now); }
+  // A request that was counted now did not run there after all.
+  void TakeBack(size_t region, TimePoint now) { Count(region, -1, now); }
 
  private:
   static constexpr size_t kSlices = 10;  // of a window
   // Requests by region.
   using Counts = std::vector<double>;
 
+  void Count(size_t region, double requests, TimePoint now);
   // Moves the windows on.
   void Advance(TimePoint now);
   Counts& SliceAt(int64_t number) {
--- a/src/routing/tests/placement_shift_test.cc
+++ b/src/routing/tests/placement_shift_test.cc
@@ -148,6 +148,23 @@
   CHECK(limiter.BoundsAt(start + Milliseconds(4000)).Allows(1));
 }
 
+TEST_CASE("a request that found no room does not count") {
+  ShiftLimiter limiter(kLimit);
+  const TimePoint start(std::chrono::hours(1));
+  for (int i = 0; i < 400; ++i) {
+    limiter.Record(kNearRegion, start + i * Milliseconds(10));
+  }
+  const TimePoint end = start + Milliseconds(4000);
+  for (int i = 0; i < 1000; ++i) {
+    limiter.Record(kNearRegion, end);
+    limiter.TakeBack(kNearRegion, end);
+  }
+  for (int i = 0; i < 20; ++i) {
+    limiter.Record(1, end);
+  }
+  CHECK_FALSE(limiter.BoundsAt(end + Milliseconds(1500)).Allows(1));
+}
+
 TEST_CASE("moves among other regions are bound as well") {
   ShiftLimiter limiter(kLimit);
   const TimePoint start(std::chrono::hours(1));
