Urgent requests get a slot first, late ones last; a replaced process refuses hops as unreachable

Queue: waiters are ordered by the time at which they need their slot, those whose answer is late at any rate last.

--- a/src/delivery/internal/request_admitter.cc
+++ b/src/delivery/internal/request_admitter.cc
@@ -278,7 +278,9 @@
       fmt::format("{} {}", exchange.method(), exchange.target());
   if (token.request_line != request_line ||
       token.to_process != identity_->process_id) {
-    return NotRun(Errc::kBadMessage, "the hop token is for another request");
+    // The process that it was for has been replaced meanwhile: no fault of the
+    // caller's, and another place may do.
+    return NotRun(Errc::kPeerUnreachable, "the hop token is for another one");
   }
   const size_t question = exchange.target().find('?');
   if (question != std::string_view::npos && token.host_route.empty()) {
--- a/src/delivery/internal/request_carrier.cc
+++ b/src/delivery/internal/request_carrier.cc
@@ -199,6 +199,10 @@
 void RequestCarrier::LogOutcome(const Delivery& delivery,
                                 const Failure* failure) {
   const RequestContext& context = delivery.context;
+  if (context.forwarded() && failure == nullptr) {
+    // The line of the attempt says the same.
+    return;
+  }
   spdlog::info(
       "event=request request={} outcome={} route={} service={} workspace={} "
       "from={} target={} expected_ms={} sent={} refusals={} took_ms={} "
--- a/src/delivery/internal/upstream_sender.cc
+++ b/src/delivery/internal/upstream_sender.cc
@@ -198,7 +198,9 @@
   wanted.affinity_key = context.route->affinity ? context.affinity_key : "";
   wanted.target = delivery.chosen_target;
   if (!delivery.chosen_target.empty()) {
-    wanted.start_by = Clock::now() + AllowedWait(WaitRequestOf(context));
+    const WaitRequest wait = WaitRequestOf(context);
+    wanted.start_by = Clock::now() + AllowedWait(wait);
+    wanted.late = IsLate(wait);
   }
   wanted.waits = delivery.patient || !delivery.chosen_target.empty();
   if (delivery.chosen_target.empty()) {
--- a/src/delivery/internal/wait_policy.cc
+++ b/src/delivery/internal/wait_policy.cc
@@ -25,6 +25,11 @@
                   std::min(until_given_up, std::max(until_late, late_wait)));
 }
 
+bool IsLate(const WaitRequest& request) {
+  return request.target_latency > Milliseconds(0) &&
+         request.age + request.run > request.target_latency;
+}
+
 Milliseconds RetryAfter(Milliseconds wait, Clock::duration left, double draw) {
   const double latest = kUsefulPart * ToSeconds(left);
   const double seconds = std::min(latest, ToSeconds(wait) * (1 + draw));
--- a/src/delivery/internal/wait_policy.h
+++ b/src/delivery/internal/wait_policy.h
@@ -22,6 +22,10 @@
 // soon free. Zero: it takes a slot now or none.
 Milliseconds AllowedWait(const WaitRequest& request);
 
+// Returns whether the answer cannot come within the target latency any more,
+// even if the request runs at once.
+bool IsLate(const WaitRequest& request);
+
 // Returns when a caller that was refused is to come back: after the wait for a
 // slot and up to once as long again, so that refused callers do not come back
 // together, but soon enough for an answer in time. `left`: until it gives up;
--- a/src/delivery/tests/wait_policy_test.cc
+++ b/src/delivery/tests/wait_policy_test.cc
@@ -32,5 +32,16 @@
   CHECK(RetryAfter(Milliseconds(0), left, 0) > Milliseconds(0));
 }
 
+TEST_CASE("a request is late when its run would end after the target latency") {
+  WaitRequest request;
+  request.run = Milliseconds(200);
+  request.age = Milliseconds(400);
+  CHECK_FALSE(IsLate(request));  // no target latency
+  request.target_latency = Milliseconds(500);
+  CHECK(IsLate(request));
+  request.age = Milliseconds(300);
+  CHECK_FALSE(IsLate(request));
+}
+
 }  // namespace
 }  // namespace redwing
--- a/src/routing/fair_queue.h
+++ b/src/routing/fair_queue.h
@@ -21,8 +21,9 @@
   explicit FairQueue(size_t limit_per_workspace)
       : limit_per_workspace_(limit_per_workspace) {}
 
-  // Appends a waiter to its workspace's queue; returns false when that is
-  // full.
+  // Adds a waiter to its workspace's queue: those that are late last, the
+  // others by the time at which they need their slot, equal ones as they come.
+  // Returns false when the queue is full.
   bool Push(WaiterPtr waiter);
   // Returns the first waiter of each workspace, in the order in which they are
   // to be served.
--- a/src/routing/internal/fair_queue.cc
+++ b/src/routing/internal/fair_queue.cc
@@ -1,9 +1,18 @@
 #include "routing/fair_queue.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace redwing {
 
+namespace {
+bool IsMoreUrgent(const FairQueue::WaiterPtr& a,
+                  const FairQueue::WaiterPtr& b) {
+  return std::make_pair(a->request.late, a->request.start_by) <
+         std::make_pair(b->request.late, b->request.start_by);
+}
+}  // namespace
+
 bool FairQueue::Push(WaiterPtr waiter) {
   Flow& flow = flows_[waiter->request.workspace];
   if (flow.waiters.size() >= limit_per_workspace_) {
@@ -13,7 +22,9 @@
   if (flow.waiters.empty()) {
     flow.finish = std::max(flow.finish, virtual_time_) + 1 / flow.weight;
   }
-  flow.waiters.push_back(std::move(waiter));
+  const auto place = std::upper_bound(flow.waiters.begin(), flow.waiters.end(),
+                                      waiter, &IsMoreUrgent);
+  flow.waiters.insert(place, std::move(waiter));
   ++size_;
   return true;
 }
@@ -25,9 +36,13 @@
       waiting.push_back(&flow);
     }
   }
-  std::stable_sort(
-      waiting.begin(), waiting.end(),
-      [](const Flow* a, const Flow* b) { return a->finish < b->finish; });
+  std::stable_sort(waiting.begin(), waiting.end(),
+                   [](const Flow* a, const Flow* b) {
+                     const bool a_late = a->waiters.front()->request.late;
+                     const bool b_late = b->waiters.front()->request.late;
+                     return std::make_pair(a_late, a->finish) <
+                            std::make_pair(b_late, b->finish);
+                   });
   std::vector<WaiterPtr> heads;
   heads.reserve(waiting.size());
   for (const Flow* const flow : waiting) {
--- a/src/routing/slot_request.h
+++ b/src/routing/slot_request.h
@@ -17,6 +17,8 @@
   TimePoint deadline;
   // A slot after this time is of no use.
   TimePoint start_by = TimePoint::max();
+  // Its answer cannot come in time any more: served after those that can.
+  bool late = false;
   // Requests with the same key go to the same target while it has room; empty
   // for none.
   std::string affinity_key;
--- a/src/routing/tests/fair_queue_test.cc
+++ b/src/routing/tests/fair_queue_test.cc
@@ -64,5 +64,35 @@
   CHECK(queue.Heads()[0] == heads[0]);
 }
 
+TEST_CASE("urgent requests are served first, late ones last") {
+  boost::asio::io_context io;
+  FairQueue queue(10);
+  const TimePoint start(std::chrono::hours(1));
+  const auto push = [&](const std::string& workspace, int start_by_ms,
+                        bool late) {
+    const FairQueue::WaiterPtr waiter = MakeWaiter(io, workspace, 1);
+    waiter->request.start_by = start + Milliseconds(start_by_ms);
+    waiter->request.late = late;
+    REQUIRE(queue.Push(waiter));
+    return waiter;
+  };
+  const FairQueue::WaiterPtr late = push("a", 10, true);
+  const FairQueue::WaiterPtr patient = push("a", 300, false);
+  const FairQueue::WaiterPtr urgent = push("a", 100, false);
+  const FairQueue::WaiterPtr late_of_other = push("b", 20, true);
+  const FairQueue::WaiterPtr patient_of_other = push("c", 300, false);
+  std::vector<FairQueue::WaiterPtr> served;
+  while (!queue.empty()) {
+    served.push_back(queue.Heads().front());
+    queue.Serve(served.back());
+  }
+  REQUIRE(served.size() == 5);
+  CHECK(served[0] == urgent);
+  // The others in time share by workspace; the late ones come last.
+  CHECK((served[1] == patient_of_other || served[1] == patient));
+  CHECK((served[3] == late || served[3] == late_of_other));
+  CHECK((served[4] == late || served[4] == late_of_other));
+}
+
 }  // namespace
 }  // namespace redwing
--- a/testing/integration/platform_test_fleet.cc
+++ b/testing/integration/platform_test_fleet.cc
@@ -279,6 +279,37 @@
   });
 }
 
+TEST_CASE("a request handed to a process that was replaced is no bad request") {
+  PlatformStandIn fleet(kInstances);
+  REQUIRE(fleet.AwaitReady(kStartLimit));
+  std::atomic<bool> over{false};
+  std::atomic<int> asked{0};
+  std::atomic<int> denied{0};
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 3; ++i) {
+    callers.emplace_back([&, i]() {
+      for (int n = 0; !over; ++n) {
+        const Result<HttpReply> reply =
+            fleet.Send(i, fmt::format("replaced-{}-{}", i, n));
+        const unsigned status = reply ? reply.value().status : 0;
+        ++asked;
+        denied += status >= 400 && status < 500 && status != 429 ? 1 : 0;
+      }
+    });
+  }
+  for (int round = 0; round < 8; ++round) {
+    fleet.instance(3).Kill();
+    fleet.StartInstance(3);
+    std::this_thread::sleep_for(Milliseconds(600));
+  }
+  over = true;
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  CHECK(asked > 100);
+  CHECK(denied == 0);
+}
+
 TEST_CASE("a request whose caller has left meanwhile is not sent on") {
   PlatformStandIn fleet(1);
   REQUIRE(fleet.AwaitReady(kStartLimit));
