--- a/src/delivery/internal/hop_token.cc
+++ b/src/delivery/internal/hop_token.cc
@@ -39,6 +39,19 @@
 
 }  // namespace
 
+Result<void> CheckAddressee(const HopToken& token,
+                            const std::string& process_id,
+                            const std::string& request_line) {
+  if (token.to_process != process_id) {
+    return NotRun(Errc::kPeerUnreachable,
+                  "the process that the hop was for has been replaced");
+  }
+  if (token.request_line != request_line) {
+    return NotRun(Errc::kPeerUnreachable, "the hop is for another request");
+  }
+  return boost::outcome_v2::success();
+}
+
 std::string HopSigner::Sign(const HopToken& token) const {
   const std::string body = EncodePayload(token);
   return DigestText(secrets_.front(), body) + Hex(body);
--- a/src/delivery/internal/hop_token.h
+++ b/src/delivery/internal/hop_token.h
@@ -42,6 +42,14 @@
   }
 };
 
+// Checks that a token is for a process and a request. Fails with
+// kPeerUnreachable, kNotRun: the process that it was for has been replaced
+// meanwhile, or the hop went astray; no fault of the caller's, and another
+// place may do.
+Result<void> CheckAddressee(const HopToken& token,
+                            const std::string& process_id,
+                            const std::string& request_line);
+
 // Signs with the first secret; verifies with any.
 class HopSigner {
  public:
--- a/src/delivery/internal/request_admitter.cc
+++ b/src/delivery/internal/request_admitter.cc
@@ -276,11 +276,10 @@
                                        RequestContext* context) const {
   const std::string request_line =
       fmt::format("{} {}", exchange.method(), exchange.target());
-  if (token.request_line != request_line ||
-      token.to_process != identity_->process_id) {
-    // The process that it was for has been replaced meanwhile: no fault of the
-    // caller's, and another place may do.
-    return NotRun(Errc::kPeerUnreachable, "the hop token is for another one");
+  const Result<void> addressed =
+      CheckAddressee(token, identity_->process_id, request_line);
+  if (!addressed) {
+    return addressed;
   }
   const size_t question = exchange.target().find('?');
   if (question != std::string_view::npos && token.host_route.empty()) {
--- a/src/delivery/tests/hop_token_test.cc
+++ b/src/delivery/tests/hop_token_test.cc
@@ -21,5 +21,20 @@
   CHECK_FALSE(both.Verify(""));
 }
 
+TEST_CASE("a hop for a process that was replaced is no fault of the caller") {
+  HopToken token;
+  token.to_process = "former";
+  token.request_line = "GET /v1/services/svc/";
+  CHECK(CheckAddressee(token, "former", token.request_line));
+  const Result<void> replaced =
+      CheckAddressee(token, "present", token.request_line);
+  REQUIRE_FALSE(replaced);
+  CHECK(replaced.error().verdict == Verdict::kNotRun);
+  CHECK(ErrcHttpStatus(replaced.error().errc) == 503);
+  const Result<void> astray = CheckAddressee(token, "former", "GET /other");
+  REQUIRE_FALSE(astray);
+  CHECK(ErrcHttpStatus(astray.error().errc) == 503);
+}
+
 }  // namespace
 }  // namespace redwing
