A request that can run only where traffic may not move is not refused for it

Found in reading: for a service, or a home, with targets in one region only, the bound on moves had no other place to offer and refused. The bound holds only where there is a choice now; place_choice_test, which failed before.

--- a/src/routing/internal/place_choice.cc
+++ b/src/routing/internal/place_choice.cc
@@ -24,6 +24,11 @@
   std::sort(order.begin(), order.end(), [candidates](size_t a, size_t b) {
     return (*candidates)[a].score > (*candidates)[b].score;
   });
+  // Where a request can run only in regions to which traffic may not move, it
+  // has no other place.
+  const bool bound = std::any_of(
+      candidates->begin(), candidates->end(),
+      [](const PlaceCandidate& candidate) { return candidate.allowed; });
   std::set<size_t> regions_seen;
   std::optional<size_t> best;
   double best_cost = 0;
@@ -41,7 +46,8 @@
     const bool wanted = own || (is_near && candidate.wait <= 0);
     // The way there takes its time as well.
     const double longest_wait = std::max(0.0, max_wait - candidate.travel);
-    if (!wanted || !candidate.allowed || candidate.wait > longest_wait) {
+    const bool barred = bound && !candidate.allowed;
+    if (!wanted || barred || candidate.wait > longest_wait) {
       continue;
     }
     if (!best || cost < best_cost) {
--- a/src/routing/place_choice.h
+++ b/src/routing/place_choice.h
@@ -28,7 +28,8 @@
   size_t region = kNearRegion;
   // The key was sent there lately.
   bool visited = false;
-  // Traffic may move to the region, or stay there.
+  // Traffic may move to the region, or stay there. Where that holds for no
+  // candidate, it binds none.
   bool allowed = true;
   // Filled by ChoosePlace(): time until a slot is free and until the answer, in
   // milliseconds.
--- a/src/routing/tests/place_choice_test.cc
+++ b/src/routing/tests/place_choice_test.cc
@@ -99,6 +99,9 @@
   candidates[0].allowed = false;
   candidates[0].work = 0;
   CHECK(ChoosePlace(times, kLongWait, &candidates) == 1);
+  // A request that may run nowhere else is not turned away for it.
+  candidates[1].allowed = false;
+  CHECK(ChoosePlace(times, kLongWait, &candidates) == 0);
 }
 
 }  // namespace
