--- a/testing/fault_proxy/fault_proxy.cc
+++ b/testing/fault_proxy/fault_proxy.cc
@@ -11,6 +11,9 @@
 namespace redwing::testing {
 
 namespace {
+// Free ports are drawn by the system; this many taken ones in a row are no
+// chance.
+constexpr int kPortAttempts = 20;
 
 using nlohmann::json;
 
@@ -108,20 +111,46 @@
   const std::string to = body.value("to", "127.0.0.1:0");
   std::unique_ptr<UdpLink> udp;
   std::unique_ptr<TcpLink> tcp;
-  if (protocol != "tcp") {
+  if (protocol == "udp") {
     udp = std::make_unique<UdpLink>(*this, UdpEndpoint(FormatEndpoint(listen)),
                                     UdpEndpoint(to));
     listen.port(udp->local_endpoint().port());
-  }
-  if (protocol != "udp") {
+  } else {
     tcp = std::make_unique<TcpLink>(*this, listen, TcpEndpoint(to));
     listen.port(tcp->local_endpoint().port());
   }
+  if (protocol == "both") {
+    udp = AddDatagramLink(&listen, &tcp, to);
+  }
   udp_links_.push_back(std::move(udp));
   tcp_links_.push_back(std::move(tcp));
   return {{"link", tcp_links_.size() - 1}, {"listen", FormatEndpoint(listen)}};
 }
 
+std::unique_ptr<UdpLink> FaultProxy::AddDatagramLink(
+    boost::asio::ip::tcp::endpoint* listen,
+    std::unique_ptr<TcpLink>* tcp,
+    const std::string& to) {
+  for (int attempt = 1;; ++attempt) {
+    try {
+      return std::make_unique<UdpLink>(
+          *this, UdpEndpoint(FormatEndpoint(*listen)), UdpEndpoint(to));
+    } catch (const boost::system::system_error& error) {
+      const bool taken = error.code() == boost::asio::error::address_in_use;
+      if (!taken || attempt == kPortAttempts) {
+        throw;
+      }
+    }
+    // The port is free for connections and taken for datagrams, by another
+    // fleet on this machine. Its link stays, unused: its work may not have
+    // ended.
+    unused_links_.push_back(std::move(*tcp));
+    listen->port(0);
+    *tcp = std::make_unique<TcpLink>(*this, *listen, TcpEndpoint(to));
+    listen->port((*tcp)->local_endpoint().port());
+  }
+}
+
 void FaultProxy::Retarget(const json& body) {
   const size_t link = body.at("link");
   const std::string to = body.at("to");
--- a/testing/fault_proxy/fault_proxy.h
+++ b/testing/fault_proxy/fault_proxy.h
@@ -78,6 +78,12 @@
   // Opens a TCP link, a UDP link, or both with the same port number. Where it
   // leads can be set later, by its number.
   nlohmann::json AddLink(const nlohmann::json& body);
+  // Opens the UDP link beside a TCP link, on the same port; replaces the TCP
+  // link while its port is taken.
+  std::unique_ptr<UdpLink> AddDatagramLink(
+      boost::asio::ip::tcp::endpoint* listen,
+      std::unique_ptr<TcpLink>* tcp,
+      const std::string& to);
   // Sets where a link leads, and whether it is up.
   void Retarget(const nlohmann::json& body);
   void SetRules(const nlohmann::json& body);
@@ -95,6 +101,7 @@
   std::map<Pair, Meter> meters_;
   // Both by number; either may be null.
   std::vector<std::unique_ptr<TcpLink>> tcp_links_;
+  std::vector<std::unique_ptr<TcpLink>> unused_links_;
   std::vector<std::unique_ptr<UdpLink>> udp_links_;
 };
 
--- a/testing/integration/link_test_fleet.cc
+++ b/testing/integration/link_test_fleet.cc
@@ -2,10 +2,18 @@
 // decision overloads a region. Judged by the bytes that passed the proxy and
 // by what targets received.
 
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
 #include <thread>
 
 #include "testing/harness/deployments.h"
+#include "testing/harness/process.h"
 #include "testing/harness/sync_client.h"
 #include "testing/harness/windows.h"
 
@@ -121,5 +129,25 @@
   CHECK(report.at("joined").at("false_not_run") == 0);
 }
 
+TEST_CASE("the proxy opens a link whose port is taken for datagrams") {
+  const std::string path = (std::filesystem::temp_directory_path() /
+                            fmt::format("redwing-proxy-{}.json", getpid()))
+                               .string();
+  std::ofstream(path) << R"({"listen": "127.0.0.1:0", "seed": 1})";
+  Process proxy("fault-proxy", {"--settings", path}, path + ".log");
+  const std::string address = proxy.ReadAnnouncement().at("http");
+  boost::asio::io_context io;
+  using boost::asio::ip::udp;
+  const udp::socket taken(
+      io, udp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  const std::string listen =
+      fmt::format("127.0.0.1:{}", taken.local_endpoint().port());
+  const json answer = CallJson(http::verb::post, address, "/_control/link",
+                               {{"protocol", "both"}, {"listen", listen}});
+  CHECK(answer.at("listen") != listen);
+  std::filesystem::remove(path);
+  std::filesystem::remove(path + ".log");
+}
+
 }  // namespace
 }  // namespace redwing::testing
