--- a/testing/integration/platform_test_fleet.cc
+++ b/testing/integration/platform_test_fleet.cc
@@ -285,8 +285,11 @@
   std::atomic<bool> over{false};
   std::atomic<int> asked{0};
   std::atomic<int> denied{0};
+  // All instances but the one that is replaced.
+  constexpr int kCallers = kInstances - 1;
   std::vector<std::thread> callers;
-  for (int i = 0; i < 3; ++i) {
+  callers.reserve(kCallers);
+  for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back([&, i]() {
       for (int n = 0; !over; ++n) {
         const Result<HttpReply> reply =
@@ -298,8 +301,8 @@
     });
   }
   for (int round = 0; round < 8; ++round) {
-    fleet.instance(3).Kill();
-    fleet.StartInstance(3);
+    fleet.instance(kCallers).Kill();
+    fleet.StartInstance(kCallers);
     std::this_thread::sleep_for(Milliseconds(600));
   }
   over = true;
