The last lines of the log are written at the end of the process

Cause (read in the log of a rolling stop: 7 shutdown_begins, no shutdown_ends): the sink holds lines for up to 100 ms and nothing wrote them out at the end. platform_test_fleet "a planned stop" looks for the line; it failed before.

--- a/src/framework/http/internal/core_module.cc
+++ b/src/framework/http/internal/core_module.cc
@@ -29,6 +29,8 @@
 
 void CoreModule::Stop() {
   flush_log_->Stop();
+  // The last lines tell how the process ended.
+  FlushLog();
 }
 
 void CoreModule::HandleLog() {
--- a/testing/integration/platform_test_fleet.cc
+++ b/testing/integration/platform_test_fleet.cc
@@ -274,6 +274,8 @@
   }
   CHECK(answered == kCallers);
   CHECK(fleet.instance(0).Wait(std::chrono::seconds(6)) == 0);
+  // The log tells of the end, and of all before it.
+  CHECK(fleet.LogOf(0).find("event=shutdown_ends cut=0") != std::string::npos);
   fleet.OnLoop([&]() {
     CHECK(fleet.store().Count("redwinginstances") == kInstances - 1);
   });
--- a/testing/platform_stand_in/platform_stand_in.cc
+++ b/testing/platform_stand_in/platform_stand_in.cc
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <fstream>
 #include <future>
+#include <iterator>
 
 #include "framework/settings/endpoint.h"
 #include "testing/harness/sync_client.h"
@@ -194,7 +195,17 @@
   instances_[index] = std::make_unique<Process>(
       "redwing-steer",
       std::vector<std::string>{"--log-to", "stderr", "--settings", path},
-      fmt::format("{}/node-{}.log", folder_, index));
+      LogPath(index));
+}
+
+std::string PlatformStandIn::LogPath(int index) const {
+  return fmt::format("{}/node-{}.log", folder_, index);
+}
+
+std::string PlatformStandIn::LogOf(int index) const {
+  std::ifstream file(LogPath(index));
+  return {std::istreambuf_iterator<char>(file),
+          std::istreambuf_iterator<char>()};
 }
 
 bool PlatformStandIn::AwaitReady(Milliseconds limit) {
--- a/testing/platform_stand_in/platform_stand_in.h
+++ b/testing/platform_stand_in/platform_stand_in.h
@@ -45,6 +45,8 @@
 
   void StartInstance(int index);
   Process& instance(int index) { return *instances_.at(index); }
+  // What an instance has logged so far.
+  std::string LogOf(int index) const;
   std::string front(int index) const;
   std::string ready(int index) const;
   std::string directory(int index) const;
@@ -61,6 +63,7 @@
  private:
   std::string Ip(int host) const;
   std::string SettingsOf(int index) const;
+  std::string LogPath(int index) const;
 
   // The store and the targets with their event loop. Never destroyed:
   // coroutines still suspended would be unwound while the objects that they
