Instances of a region bound its moves between regions together

When a heavy load ends, the window still holds some 400 of them, of which 40 may move; then the 40 callers that had been refused come back, find room near, and all move: 48 in 100 of the requests of the last window. Ruled out: a smaller part for each instance (the slack of two requests for each of eleven instances is half of forty). Change: heartbeats carry how many requests an instance has placed in each region, so that a region counts as one; and a second check (CUSUM) bounds what runs beyond the former distribution from any moment on, not from the start of a window.

--- a/src/membership/heartbeat.h
+++ b/src/membership/heartbeat.h
@@ -24,6 +24,33 @@
   }
 };
 
+// How many requests an instance has placed in a region since it started; the
+// number wraps around.
+struct PlacedRequests {
+  uint32_t region_hash = 0;
+  uint32_t count = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(region_hash, count);
+  }
+};
+
+// That another instance of the sender's region was heard, so that its life
+// need not be heard from itself.
+struct RelayedBeat {
+  uint32_t name_hash = 0;
+  // Since it was heard.
+  uint16_t age_ms = 0;
+  bool ready = false;
+  bool leaving = false;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(name_hash, age_ms, ready, leaving);
+  }
+};
+
 // Who the sender of heartbeats is.
 struct SenderIdentity {
   std::string region;
@@ -40,7 +67,7 @@
   }
 };
 
-// Sent by each instance to each other at a fixed interval.
+// Sent by each instance to each other, the less often the more there are.
 struct Heartbeat {
   // Left out once the receiver has told that it knows this incarnation.
   std::vector<SenderIdentity> identity;
@@ -53,17 +80,23 @@
   // Incarnation of the receiver which the sender has seen last.
   uint64_t incarnation_seen = 0;
   uint64_t state_digest = 0;
+  // Sum of the revisions of its state: who has the higher one has news.
+  uint64_t state_sum = 0;
   uint64_t withdrawn_hash = 0;
   // Part of its service capacity in use, 0 to 1000.
   uint16_t load_permille = 0;
   // Epoch of the idempotency keys that the sender accepts now.
   uint32_t key_epoch = 0;
   std::vector<TargetWork> work;
+  std::vector<PlacedRequests> placed;
+  // Some members of the sender's region, in turn.
+  std::vector<RelayedBeat> relayed;
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(identity, leaving, ready, beat, echoed_beat, incarnation_seen,
-            state_digest, withdrawn_hash, load_permille, key_epoch, work);
+            state_digest, state_sum, withdrawn_hash, load_permille, key_epoch,
+            work, placed, relayed);
   }
 };
 
--- a/src/routing/internal/led_placement.cc
+++ b/src/routing/internal/led_placement.cc
@@ -24,6 +24,10 @@
 // How soon a caller may find a target that takes work again.
 constexpr Milliseconds kNoTargetRetry{1'000};
 
+uint32_t HashOf(const std::string& name) {
+  return static_cast<uint32_t>(Hash64(name));
+}
+
 Milliseconds ShortestWait(const std::vector<PlaceCandidate>& candidates) {
   const auto first =
       std::min_element(candidates.begin(), candidates.end(),
@@ -50,11 +54,18 @@
     router_->ReportTargets(
         [this](const Target& target) { return leaders_.IsOwn(target); },
         &heartbeat);
+    ReportPlaced(&heartbeat);
   });
   membership_->on_heartbeat().Subscribe(
       [this](const Member& member, const Heartbeat& heartbeat) {
         ApplyReports(member, heartbeat);
+        ApplyPlaced(member, heartbeat);
       });
+  membership_->on_change().Subscribe([this](const Member& member) {
+    if (!member.usable()) {
+      placed_by_others_.erase(member.process_id);
+    }
+  });
 }
 
 Result<Place> LedPlacement::FindPlace(const PlaceRequest& request) {
@@ -117,15 +128,15 @@
     std::vector<PlaceCandidate>* candidates) {
   const TimePoint now = Clock::now();
   const ShiftLimiter::Bounds bounds = shift_.BoundsAt(now);
-  const bool bound = !HasLostRoom(request, now);
+  const bool bound = request.own_caller && !HasLostRoom(request, now);
   for (PlaceCandidate& candidate : *candidates) {
     candidate.allowed = !bound || bounds.Allows(candidate.region);
   }
   const std::optional<size_t> best =
       ChoosePlace(router_->TimesOf(request.service),
                   static_cast<double>(request.max_wait.count()), candidates);
-  if (best) {
-    shift_.Record((*candidates)[*best].region, now);
+  if (best && request.own_caller) {
+    CountPlaced((*candidates)[*best].region, 1, now);
   }
   return best;
 }
@@ -143,7 +154,47 @@
 }
 
 void LedPlacement::TakeBack(const Place& place) {
-  shift_.TakeBack(region_numbers_.at(place.region), Clock::now());
+  CountPlaced(region_numbers_.at(place.region), -1, Clock::now());
+}
+
+void LedPlacement::CountPlaced(size_t region, int requests, TimePoint now) {
+  shift_.Record(region, now, requests);
+  placed_[region] += static_cast<uint32_t>(requests);
+}
+
+void LedPlacement::ReportPlaced(Heartbeat* heartbeat) const {
+  for (const auto& [region, number] : region_numbers_) {
+    const auto placed = placed_.find(number);
+    if (placed != placed_.end()) {
+      heartbeat->placed.push_back({HashOf(region), placed->second});
+    }
+  }
+}
+
+void LedPlacement::ApplyPlaced(const Member& member,
+                               const Heartbeat& heartbeat) {
+  if (member.region != identity_->region) {
+    return;
+  }
+  std::map<uint32_t, uint32_t>& known = placed_by_others_[member.process_id];
+  const TimePoint now = Clock::now();
+  for (const auto& [region, number] : region_numbers_) {
+    const uint32_t hash = HashOf(region);
+    const auto placed =
+        std::find_if(heartbeat.placed.begin(), heartbeat.placed.end(),
+                     [hash](const PlacedRequests& requests) {
+                       return requests.region_hash == hash;
+                     });
+    if (placed == heartbeat.placed.end()) {
+      continue;
+    }
+    const auto before = known.emplace(hash, placed->count);
+    const int more = static_cast<int>(placed->count - before.first->second);
+    before.first->second = placed->count;
+    if (more != 0) {
+      shift_.Record(number, now, more);
+    }
+  }
 }
 
 void LedPlacement::BeginForward(const Place& place) {
@@ -222,7 +273,7 @@
 const LedPlacement::Report* LedPlacement::ReportOf(
     const Target& target,
     const std::string& leader) const {
-  const auto report = reports_.find(static_cast<uint32_t>(Hash64(target.name)));
+  const auto report = reports_.find(HashOf(target.name));
   const bool believed = report != reports_.end() &&
                         report->second.leader == leader &&
                         Clock::now() - report->second.at < kReportAge;
--- a/src/routing/internal/led_placement.h
+++ b/src/routing/internal/led_placement.h
@@ -63,6 +63,12 @@
   // Numbers the regions in the order in which they are met.
   size_t NumberOf(const std::string& region);
   void ApplyReports(const Member& member, const Heartbeat& heartbeat);
+  // Adds what this instance has placed.
+  void ReportPlaced(Heartbeat* heartbeat) const;
+  // Takes over what another instance of the own region has placed.
+  void ApplyPlaced(const Member& member, const Heartbeat& heartbeat);
+  // Counts requests that this instance has placed, or takes them back.
+  void CountPlaced(size_t region, int requests, TimePoint now);
   // Fills what is known of a target's load; false when it takes no work.
   bool Describe(const Target& target,
                 const std::string& leader,
@@ -90,6 +96,10 @@
   // Slots that take work, by region, for the request that is being placed.
   std::vector<int> slots_;
   ShiftLimiter shift_;
+  // Requests placed by this instance, by number of the region.
+  std::map<size_t, uint32_t> placed_;
+  // What other processes have told of theirs, by process and region.
+  std::map<std::string, std::map<uint32_t, uint32_t>> placed_by_others_;
   RoomHistory room_;
 };
 
--- a/src/routing/internal/shift_limiter.cc
+++ b/src/routing/internal/shift_limiter.cc
@@ -10,6 +10,8 @@
 constexpr double kLeastRequests = 8;
 // Requests that may move beyond the part: of few, each is a large part.
 constexpr double kSlack = 2;
+// The same for the surplus, which counts from any moment on.
+constexpr double kSurplusSlack = 1;
 
 double Total(const std::vector<double>& counts) {
   return std::accumulate(counts.begin(), counts.end(), 0.0);
@@ -45,21 +47,43 @@
     moved += gain(i, 0);
   }
   const double most = max_change_ + kSlack / all;
+  const double most_surplus = std::max(Total(surplus_), kSurplusSlack);
   Bounds bounds;
-  bounds.others_allowed = moved + 1 / all <= most;
+  bounds.others_allowed =
+      moved + 1 / all <= most && Total(SurplusAfter(count, 1)) <= most_surplus;
   for (size_t i = 0; i < count; ++i) {
     const double added = gain(i, 1) - gain(i, 0);
-    bounds.allowed.push_back(added <= 0 || moved + added <= most);
+    bounds.allowed.push_back((added <= 0 || moved + added <= most) &&
+                             Total(SurplusAfter(i, 1)) <= most_surplus);
   }
   return bounds;
 }
 
+ShiftLimiter::Counts ShiftLimiter::SurplusAfter(size_t region,
+                                                double requests) const {
+  const double all_before = Total(before_);
+  if (max_change_ <= 0 || all_before < kLeastRequests) {
+    return {};
+  }
+  Counts surplus = surplus_;
+  surplus.resize(std::max({surplus_.size(), before_.size(), region + 1}));
+  surplus[region] += requests;
+  const double all = Total(surplus);
+  for (size_t i = 0; i < surplus.size(); ++i) {
+    const double before = i < before_.size() ? before_[i] / all_before : 0;
+    const double may_move = all > 0 ? max_change_ * surplus[i] / all : 0;
+    surplus[i] = std::max(0.0, surplus[i] - requests * (before + may_move));
+  }
+  return surplus;
+}
+
 void ShiftLimiter::Count(size_t region, double requests, TimePoint now) {
   Advance(now);
   Counts counts(region + 1);
   counts[region] = requests;
   AddTo(&SliceAt(newest_), counts, 1);
   AddTo(&current_, counts, 1);
+  surplus_ = SurplusAfter(region, requests);
 }
 
 void ShiftLimiter::Advance(TimePoint now) {
@@ -70,6 +94,7 @@
     slices_ = {};
     current_.clear();
     before_.clear();
+    surplus_.clear();
     newest_ = slice;
     return;
   }
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -22,6 +22,9 @@
   Milliseconds max_wait{0};
   // Tells whether the request may run in a region.
   std::function<bool(const std::string&)> may_run_in;
+  // Of a caller of the own region: such requests move between regions little by
+  // little. Those that others sent here have moved already.
+  bool own_caller = true;
 };
 
 // Finds places for requests where each target is led by one entry of its
--- a/src/routing/shift_limiter.h
+++ b/src/routing/shift_limiter.h
@@ -10,10 +10,16 @@
 
 namespace redwing {
 
-// Bounds how fast an instance's requests move between regions: from one window
-// to the next, at most a part of them may run in another region than before. A
-// sudden move would fill regions whose targets do not know the objects asked
-// for. Each instance keeps to it by itself, so a region does as a whole.
+// Bounds how fast the requests of a region move between regions: from one
+// window to the next, at most a part of them may run in another region than
+// before. A sudden move would fill regions whose targets do not know the
+// objects asked for. Instances of a region tell each other what they placed, so
+// that many with few requests each keep the bound together.
+//
+// Two checks: one compares the newest window with the one before; the other
+// sums up what runs beyond the former distribution (a CUSUM chart, Page 1954),
+// so that the bound also holds for the few requests that come when a heavy
+// load has just ended.
 class ShiftLimiter {
  public:
   static constexpr Milliseconds kWindow{2'000};
@@ -31,8 +37,11 @@
     }
   };
   Bounds BoundsAt(TimePoint now);
-  // Counts a request that was given a place in a region.
-  void Record(size_t region, TimePoint now) { Count(region, 1, now); }
+  // Counts requests that were given a place in a region, here or by another
+  // instance of the own region.
+  void Record(size_t region, TimePoint now, int requests = 1) {
+    Count(region, requests, now);
+  }
   // A request that was counted now did not run there after all.
   void TakeBack(size_t region, TimePoint now) { Count(region, -1, now); }
 
@@ -42,6 +51,8 @@
   using Counts = std::vector<double>;
 
   void Count(size_t region, double requests, TimePoint now);
+  // What the surplus becomes with more requests in a region.
+  Counts SurplusAfter(size_t region, double requests) const;
   // Moves the windows on.
   void Advance(TimePoint now);
   Counts& SliceAt(int64_t number) {
@@ -55,6 +66,9 @@
   // Sums of the newest window's slices and of those of the one before.
   Counts current_;
   Counts before_;
+  // Requests by region beyond the distribution of the window before and what
+  // may move, never below 0.
+  Counts surplus_;
 };
 
 }  // namespace redwing
--- a/src/routing/tests/placement_shift_test.cc
+++ b/src/routing/tests/placement_shift_test.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <catch2/catch.hpp>
 #include <cmath>
+#include <deque>
 #include <random>
 #include <string>
 #include <vector>
@@ -138,6 +139,79 @@
   }
 }
 
+// A region's instances, each with its own limiter, that hear of each other's
+// placements a while later. All requests want to run near.
+class SharedLimiters {
+ public:
+  SharedLimiters() : limiters_(kInstances, ShiftLimiter(kLimit)) {}
+
+  // Places a request at one instance; it runs near where that is allowed.
+  size_t Place(size_t instance, TimePoint now) {
+    Deliver(now);
+    const ShiftLimiter::Bounds bounds = limiters_[instance].BoundsAt(now);
+    const size_t region = bounds.Allows(kNearRegion) ? kNearRegion : 1;
+    Note(instance, region, now);
+    return region;
+  }
+
+  // Counts a request that runs in a region whatever the bounds say.
+  void Note(size_t instance, size_t region, TimePoint now) {
+    Deliver(now);
+    limiters_[instance].Record(region, now);
+    news_.push_back({instance, region, now + kNewsDelay});
+  }
+
+ private:
+  static constexpr size_t kInstances = 11;
+  static constexpr Milliseconds kNewsDelay{100};
+
+  struct News {
+    size_t from;
+    size_t region;
+    TimePoint at;
+  };
+
+  void Deliver(TimePoint now) {
+    while (!news_.empty() && news_.front().at <= now) {
+      for (size_t i = 0; i < limiters_.size(); ++i) {
+        if (i != news_.front().from) {
+          limiters_[i].Record(news_.front().region, now);
+        }
+      }
+      news_.pop_front();
+    }
+  }
+
+  std::vector<ShiftLimiter> limiters_;
+  std::deque<News> news_;
+};
+
+// Half of a heavy load ran in another region; then the load ends, and the few
+// callers that were refused come back and find room near.
+TEST_CASE("the few requests after a heavy load keep the bound") {
+  constexpr int kHeavy = 2'000;  // requests, one each 5 ms
+  constexpr int kLate = 40;      // requests, one each 50 ms
+  for (const uint64_t seed : {1, 2, 3, 4, 5, 6, 7, 8}) {
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    std::uniform_int_distribution<size_t> instance(0, 10);
+    SharedLimiters region;
+    TimePoint now(std::chrono::hours(1));
+    for (int i = 0; i < kHeavy; ++i) {
+      now += Milliseconds(5);
+      region.Note(instance(random), static_cast<size_t>(i % 2), now);
+    }
+    int near = 0;
+    for (int i = 0; i < kLate; ++i) {
+      now += Milliseconds(50);
+      near += region.Place(instance(random), now) == kNearRegion ? 1 : 0;
+    }
+    CHECK(near - kLate / 2 <= kMaxShift * kLate);
+    // It does move.
+    CHECK(near > kLate / 2);
+  }
+}
+
 TEST_CASE("few requests can move at all") {
   ShiftLimiter limiter(kLimit);
   const TimePoint start(std::chrono::hours(1));
