A few owners in each region hold the shares of budgets; others draw tokens

Cause: each of N instances owned 1/N of every budget and wrote the one object of shares. At 63 instances and 74 workspaces a share of a small workspace is one request in four seconds: requests borrowed from up to 62 peers, 510 requests to lend a second in the fleet, 27 in 100 requests refused. At 295 instances the writes to the object and its readings alone grow with N squared. Change: at most four instances of a region own shares, spread over its failure domains (all do where there are no more, as at ten instances). For each budget one of them, by rendezvous order, holds it for its region: it borrows from the others as before and hands tokens to the region's instances, for 500 ms. Drawn tokens count against the capacity until they are told as spent or have ended, and never outlive a share they rest on, so that over any window the fleet still admits at most rate x time + burst.

--- a/src/budget/internal/budget_account.cc
+++ b/src/budget/internal/budget_account.cc
@@ -23,49 +23,70 @@
 
 void BudgetAccount::NoteDemand(double amount, TimePoint now) {
   demand.Add(amount);
+  untold_demand += amount;
   largest_amount = std::max(largest_amount, amount);
   last_used = now;
 }
 
 bool BudgetAccount::CanSpend(double amount, TimePoint now) {
-  return waiters.empty() && bucket.Tokens(now) >= amount;
+  return waiters.empty() && Available(now) >= amount;
+}
+
+double BudgetAccount::Available(TimePoint now) {
+  return bucket.Tokens(now) + drawn.Amount(now);
+}
+
+bool BudgetAccount::TrySpend(double amount, TimePoint now) {
+  if (Available(now) < amount) {
+    return false;
+  }
+  const double rest = amount - drawn.Spend(amount, now);
+  if (rest > 0) {
+    bucket.TrySpend(std::min(rest, bucket.held_tokens()), now);
+  }
+  spent += amount;
+  return true;
 }
 
 void BudgetAccount::GrantWaiters(TimePoint now) {
   while (!waiters.empty()) {
     const std::shared_ptr<TokenWaiter> waiter = waiters.front();
-    if (!bucket.TrySpend(waiter->amount, now)) {
+    if (!TrySpend(waiter->amount, now)) {
       return;
     }
     waiters.pop_front();
     waiting_amount -= waiter->amount;
-    spent += waiter->amount;
     waiter->granted = true;
     waiter->timer.cancel();
   }
 }
 
-Failure BudgetAccount::Refuse(const Charge& charge) {
+Failure BudgetAccount::Refuse(const Charge& charge, TimePoint now) {
   refused += charge.amount;
   const double rate =
       std::max(bucket.Rate(), bucket.spec().rate * kLeastRatePart);
   const double seconds =
       (waiting_amount + reserved_amount + charge.amount) / rate;
+  Milliseconds wait(static_cast<int64_t>(std::ceil(seconds * 1000)));
+  if (tokens_expected > now) {
+    wait = std::chrono::ceil<Milliseconds>(tokens_expected - now);
+  }
   const Milliseconds retry_after =
-      std::clamp(Milliseconds(static_cast<int64_t>(std::ceil(seconds * 1000))),
-                 kMinRetryAfter, kMaxRetryAfter);
+      std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
   return NotRun(charge.when_full, "over the rate of " + charge.budget,
                 retry_after);
 }
 
 double BudgetAccount::NeededRate() const {
   // The first requests after a pause are not in the rate yet.
-  const double backlog = waiting_amount + reserved_amount + demand.pending();
+  const double backlog =
+      waiting_amount + reserved_amount + remote_backlog + demand.pending();
   return demand.rate() * kHeadroom + backlog / kBacklogSeconds;
 }
 
 bool BudgetAccount::HasReserve() const {
-  const double backlog = waiting_amount + reserved_amount + demand.pending();
+  const double backlog =
+      waiting_amount + reserved_amount + remote_backlog + demand.pending();
   return bucket.held_tokens() >=
          backlog + demand.rate() * kHeadroom * kReserveSeconds;
 }
@@ -73,7 +94,7 @@
 double BudgetAccount::NeededShare() const {
   const BudgetSpec& spec = bucket.spec();
   const double rate = NeededRate();
-  if (rate <= spec.rate * kIdlePart) {
+  if (!held_here || rate <= spec.rate * kIdlePart) {
     return 0;
   }
   const double for_capacity = kMinCapacity * largest_amount / spec.burst;
--- a/src/budget/internal/budget_account.h
+++ b/src/budget/internal/budget_account.h
@@ -8,6 +8,8 @@
 
 #include "budget/charge.h"
 #include "budget/demand_meter.h"
+#include "budget/drawn_tokens.h"
+#include "budget/remote_backlog.h"
 #include "budget/share_bucket.h"
 #include "framework/errors/failure.h"
 #include "framework/kernel/timer.h"
@@ -34,6 +36,9 @@
   BudgetAccount(const BudgetSpec& spec, TimePoint now) : bucket(spec, now) {}
 
   ShareBucket bucket;
+  // Whether this instance holds the budget for its region, as of the last tick;
+  // else it needs no share of its own.
+  bool held_here = true;
   DemandMeter demand;
   std::deque<std::shared_ptr<TokenWaiter>> waiters;
   double waiting_amount = 0;
@@ -42,10 +47,24 @@
   // Largest single amount asked for lately.
   double largest_amount = 0;
   TimePoint last_used;
+  // Tokens drawn from owners of a share.
+  DrawnTokens drawn;
+  // Demand of which no owner was told yet.
+  double untold_demand = 0;
+  // Not before then is the holder asked again, and then it expects to have
+  // tokens.
+  TimePoint ask_again_at;
+  TimePoint tokens_expected;
+  // What other instances ask for in vain, and its sum as of the last tick.
+  RemoteBacklog remote;
+  double remote_backlog = 0;
+  // Holders that did not answer, and until when they are passed over.
+  std::map<std::string, TimePoint> silent_until;
   // Peers that had nothing to lend, and until when they are not asked again.
   std::map<std::string, TimePoint> refused_until;
   // Since when no peer had anything to lend.
   TimePoint starved_since = TimePoint::max();
+  // Spent here, and refused.
   double spent = 0;
   double refused = 0;
 
@@ -53,10 +72,14 @@
   void NoteDemand(double amount, TimePoint now);
   // Returns whether the tokens are there and nobody has waited for them.
   bool CanSpend(double amount, TimePoint now);
+  // What may be spent now.
+  double Available(TimePoint now);
+  // Spends tokens, drawn ones first, if there are enough.
+  bool TrySpend(double amount, TimePoint now);
   // Serves the queue as far as the tokens go.
   void GrantWaiters(TimePoint now);
   // Counts a refusal and returns it, with the time to come back.
-  Failure Refuse(const Charge& charge);
+  Failure Refuse(const Charge& charge, TimePoint now);
   // Units a second that this instance needs to keep up with its demand.
   double NeededRate() const;
   // Returns whether the tokens held last for the demand of a while.
--- a/src/budget/internal/lease_exchange.cc
+++ b/src/budget/internal/lease_exchange.cc
@@ -4,7 +4,9 @@
 #include <cmath>
 
 #include "budget/internal/lease_messages.h"
+#include "budget/internal/lease_term.h"
 #include "budget/internal/lending_policy.h"
+#include "budget/internal/share_ledger.h"
 #include "config/freshness.h"
 #include "framework/metrics/metrics.h"
 #include "framework/peer/peer_transport.h"
@@ -20,10 +22,6 @@
 constexpr Milliseconds kRequestTimeout{400};
 // A peer that had nothing to lend is not asked again for this long.
 constexpr Milliseconds kRefusalTime{250};
-// A lender counts a lease this much longer, against clocks that differ in
-// speed.
-constexpr double kLenderMargin = 1.02;
-constexpr Milliseconds kLenderExtra{5};
 }  // namespace
 
 LeaseExchange::LeaseExchange(Metrics& metrics,
@@ -42,10 +40,12 @@
 
 void LeaseExchange::Attach(std::shared_ptr<PeerTransport> transport,
                            std::shared_ptr<Membership> membership,
-                           std::shared_ptr<Freshness> freshness) {
+                           std::shared_ptr<Freshness> freshness,
+                           std::shared_ptr<ShareLedger> ledger) {
   transport_ = std::move(transport);
   membership_ = std::move(membership);
   freshness_ = std::move(freshness);
+  ledger_ = std::move(ledger);
   transport_->OnDatagram(
       MessageKind::kLeaseRequest,
       [this](const Envelope& envelope,
@@ -143,7 +143,8 @@
     const Member* const member = membership_->Find(lease.peer);
     // Kept for half its time at the least: the next request may need it.
     const bool young = lease.until - now > lease_duration_ / 2;
-    if (young || lease.share > surplus || member == nullptr) {
+    if (young || lease.share > surplus || member == nullptr ||
+        !account.bucket.CanReturn(lease)) {
       continue;
     }
     surplus -= lease.share;
@@ -195,7 +196,7 @@
     const auto refused = account.refused_until.find(name);
     const bool has_none =
         refused != account.refused_until.end() && now < refused->second;
-    if (member.usable() && !has_none &&
+    if (member.usable() && !has_none && ledger_->IsOwner(name) &&
         (spec.scope == BudgetScope::kFleet || same_region)) {
       lenders.push_back(&member);
     }
@@ -227,10 +228,7 @@
   LeaseGrant grant;
   grant.request_id = request.request_id;
   grant.duration_ms = static_cast<uint32_t>(lease_duration_.count());
-  const TimePoint until = now +
-                          std::chrono::duration_cast<Clock::duration>(
-                              lease_duration_ * kLenderMargin) +
-                          kLenderExtra;
+  const TimePoint until = LenderEnd(now, lease_duration_);
   if (request.lease_id != 0) {
     if (policy_->ExtendLease(account) &&
         account.bucket.ExtendLent(request.lease_id, until, now)) {
--- a/src/budget/internal/lease_exchange.h
+++ b/src/budget/internal/lease_exchange.h
@@ -17,6 +17,7 @@
 class Membership;
 class Metrics;
 class PeerTransport;
+class ShareLedger;
 struct Envelope;
 struct Identity;
 struct Member;
@@ -34,7 +35,8 @@
 
   void Attach(std::shared_ptr<PeerTransport> transport,
               std::shared_ptr<Membership> membership,
-              std::shared_ptr<Freshness> freshness);
+              std::shared_ptr<Freshness> freshness,
+              std::shared_ptr<ShareLedger> ledger);
 
   // Forgets requests whose answer must be lost.
   void DropLostRequests(TimePoint now);
@@ -76,6 +78,7 @@
   std::shared_ptr<PeerTransport> transport_;
   std::shared_ptr<Membership> membership_;
   std::shared_ptr<Freshness> freshness_;
+  std::shared_ptr<ShareLedger> ledger_;
   std::map<uint64_t, OpenRequest> open_requests_;
   std::mt19937_64 random_;
 };
--- a/src/budget/internal/lending_policy.cc
+++ b/src/budget/internal/lending_policy.cc
@@ -35,9 +35,9 @@
 
   double ShareToLend(const BudgetAccount& account,
                      double wanted) const override {
-    const double own = account.bucket.own_share() - account.bucket.lent_share();
     const double spare =
-        std::min(own, account.bucket.EffectiveShare() - account.NeededShare());
+        std::min(account.bucket.FreeShare(),
+                 account.bucket.EffectiveShare() - account.NeededShare());
     const double lent = std::min(spare, wanted);
     return lent > kSmallestShare ? lent : 0;
   }
--- a/src/budget/internal/share_bucket.cc
+++ b/src/budget/internal/share_bucket.cc
@@ -13,20 +13,22 @@
       [](double sum, const ShareLease& lease) { return sum + lease.share; });
 }
 
-TimePoint FirstEnd(const std::vector<ShareLease>& leases, TimePoint none) {
+// `Item`: ShareLease or TokenDraw.
+template <typename Item>
+TimePoint FirstEnd(const std::vector<Item>& items, TimePoint none) {
   TimePoint first = none;
-  for (const ShareLease& lease : leases) {
-    first = std::min(first, lease.until);
+  for (const Item& item : items) {
+    first = std::min(first, item.until);
   }
   return first;
 }
 
-void RemoveEnded(std::vector<ShareLease>* leases, TimePoint now) {
-  leases->erase(std::remove_if(leases->begin(), leases->end(),
-                               [now](const ShareLease& lease) {
-                                 return lease.until <= now;
-                               }),
-                leases->end());
+template <typename Item>
+void RemoveEnded(std::vector<Item>* items, TimePoint now) {
+  items->erase(
+      std::remove_if(items->begin(), items->end(),
+                     [now](const Item& item) { return item.until <= now; }),
+      items->end());
 }
 
 bool Extend(std::vector<ShareLease>* leases, uint64_t id, TimePoint until) {
@@ -73,6 +75,15 @@
   return std::max(0.0, own_share_ - lent_share()) + borrowed_share();
 }
 
+double ShareBucket::Capacity() const {
+  return std::max(0.0, EffectiveShare() * spec_.burst - drawn_tokens());
+}
+
+double ShareBucket::FreeShare() const {
+  return std::max(0.0,
+                  own_share_ - lent_share() - drawn_tokens() / spec_.burst);
+}
+
 bool ShareBucket::TrySpend(double amount, TimePoint now) {
   Advance(now);
   if (tokens_ < amount) {
@@ -152,18 +163,67 @@
   Clamp();
 }
 
+bool ShareBucket::HandOut(const TokenDraw& draw, TimePoint now) {
+  Advance(now);
+  const double drawn = drawn_tokens() + draw.amount;
+  if (tokens_ < draw.amount || drawn > ShareLasting(draw.until) * spec_.burst) {
+    return false;
+  }
+  tokens_ -= draw.amount;
+  drawn_.push_back(draw);
+  return true;
+}
+
+void ShareBucket::Settle(uint64_t id, const std::string& peer, TimePoint now) {
+  Advance(now);
+  drawn_.erase(std::remove_if(drawn_.begin(), drawn_.end(),
+                              [id, &peer](const TokenDraw& draw) {
+                                return draw.id == id && draw.peer == peer;
+                              }),
+               drawn_.end());
+}
+
+bool ShareBucket::CanReturn(const ShareLease& lease) const {
+  TimePoint last;
+  for (const TokenDraw& draw : drawn_) {
+    last = std::max(last, draw.until);
+  }
+  const double lost = lease.until > last ? lease.share : 0;
+  return drawn_tokens() <= (ShareLasting(last) - lost) * spec_.burst;
+}
+
+double ShareBucket::ShareLasting(TimePoint until) const {
+  double share = std::max(0.0, own_share_ - lent_share());
+  for (const ShareLease& lease : borrowed_) {
+    share += lease.until > until ? lease.share : 0;
+  }
+  return share;
+}
+
+double ShareBucket::drawn_tokens() const {
+  return std::accumulate(
+      drawn_.begin(), drawn_.end(), 0.0,
+      [](double sum, const TokenDraw& draw) { return sum + draw.amount; });
+}
+
 void ShareBucket::Advance(TimePoint now) {
-  TimePoint next = std::min(FirstEnd(lent_, now), FirstEnd(borrowed_, now));
-  while (next < now) {
+  for (TimePoint next = NextEnd(now); next < now; next = NextEnd(now)) {
     Accrue(next);
-    RemoveEnded(&lent_, next);
-    RemoveEnded(&borrowed_, next);
-    Clamp();
-    next = std::min(FirstEnd(lent_, now), FirstEnd(borrowed_, now));
+    EndPassed(next);
   }
   Accrue(now);
+  EndPassed(now);
+}
+
+TimePoint ShareBucket::NextEnd(TimePoint none) const {
+  return std::min({FirstEnd(lent_, none), FirstEnd(borrowed_, none),
+                   FirstEnd(drawn_, none)});
+}
+
+void ShareBucket::EndPassed(TimePoint now) {
   RemoveEnded(&lent_, now);
   RemoveEnded(&borrowed_, now);
+  RemoveEnded(&drawn_, now);
   Clamp();
 }
 
--- a/src/budget/internal/share_budgets.cc
+++ b/src/budget/internal/share_budgets.cc
@@ -70,6 +70,7 @@
               std::move(policy),
               options.lease_duration,
               accounts_),
+      tokens_(metrics, identity_, accounts_),
       tick_(io, kTickInterval, [this]() { Tick(); }) {}
 
 ShareBudgets::~ShareBudgets() = default;
@@ -79,7 +80,9 @@
                           std::shared_ptr<SteeringConfig> config,
                           std::shared_ptr<Freshness> freshness,
                           std::shared_ptr<ShareLedger> ledger) {
-  leases_.Attach(std::move(transport), std::move(membership), freshness);
+  leases_.Attach(transport, membership, freshness, ledger);
+  tokens_.Attach(std::move(transport), std::move(membership), freshness, ledger,
+                 &leases_);
   config_ = std::move(config);
   freshness_ = std::move(freshness);
   ledger_ = std::move(ledger);
@@ -118,6 +121,9 @@
       return announced.error();
     }
     reservation->Add(found->second, charge);
+    if (!found->second.held_here) {
+      tokens_.DrawFor(found->first, found->second, now);
+    }
   }
   return std::unique_ptr<Reservation>(std::move(reservation));
 }
@@ -141,14 +147,13 @@
     return announced;
   }
   if (account.CanSpend(charge.amount, now)) {
-    account.bucket.TrySpend(charge.amount, now);
-    account.spent += charge.amount;
+    account.TrySpend(charge.amount, now);
     return boost::outcome_v2::success();
   }
   if (account.waiters.size() >= options_.max_waiters ||
       !Wait(account, charge.amount, /*pacing=*/false,
             std::min<TimePoint>(deadline, now + options_.max_wait), yield)) {
-    return account.Refuse(charge);
+    return account.Refuse(charge, Clock::now());
   }
   return boost::outcome_v2::success();
 }
@@ -165,8 +170,7 @@
   const TimePoint now = Clock::now();
   account.NoteDemand(amount, now);
   if (account.CanSpend(amount, now)) {
-    account.bucket.TrySpend(amount, now);
-    account.spent += amount;
+    account.TrySpend(amount, now);
     return true;
   }
   return Wait(account, amount, /*pacing=*/true, deadline, yield);
@@ -176,7 +180,7 @@
   std::vector<BudgetStatus> list;
   const TimePoint now = Clock::now();
   for (auto& [name, account] : accounts_) {
-    const double tokens = account.bucket.Tokens(now);
+    const double tokens = account.Available(now);
     list.push_back(
         {name, account.bucket.spec().rate, account.bucket.spec().burst,
          account.bucket.own_share(), account.bucket.lent_share(),
@@ -216,7 +220,10 @@
   for (auto& [name, account] : accounts_) {
     if (account.bucket.spec().scope == scope) {
       account.bucket.Tokens(now);
-      largest = std::max(largest, account.bucket.lent_share());
+      const ShareBucket& bucket = account.bucket;
+      largest =
+          std::max(largest, bucket.lent_share() +
+                                bucket.drawn_tokens() / bucket.spec().burst);
     }
   }
   return largest;
@@ -225,16 +232,29 @@
 void ShareBudgets::Tick() {
   const TimePoint now = Clock::now();
   leases_.DropLostRequests(now);
+  tokens_.DropLostRequests(now);
   for (auto& [name, account] : accounts_) {
     account.demand.Update(now);
+    account.remote_backlog = account.remote.Amount(now);
     account.GrantWaiters(now);
     if (now - account.last_used > kIdleTime && account.waiters.empty() &&
         account.reserved_amount <= 0) {
       account.largest_amount = 0;
       continue;
     }
-    leases_.Renew(name, account, now);
+    Refill(name, account, now);
+  }
+}
+
+void ShareBudgets::Refill(const std::string& name,
+                          BudgetAccount& account,
+                          TimePoint now) {
+  account.held_here = tokens_.IsHolder(name, account, now);
+  leases_.Renew(name, account, now);
+  if (account.held_here) {
     leases_.BorrowFor(name, account, now);
+  } else {
+    tokens_.DrawFor(name, account, now);
   }
 }
 
@@ -274,6 +294,11 @@
                             double amount,
                             TimePoint deadline,
                             TimePoint now) {
+  if (!account.held_here) {
+    return !tokens_.MayDraw(
+        name, account,
+        std::min<Clock::duration>(options_.max_wait, deadline - now), now);
+  }
   const double wait_limit =
       ToSeconds(std::min<Clock::duration>(options_.max_wait, deadline - now));
   // Where more can be borrowed, the whole rate may come; else only what is
@@ -291,12 +316,13 @@
                                     TimePoint deadline,
                                     TimePoint now) {
   account.NoteDemand(charge.amount, now);
+  account.held_here = tokens_.IsHolder(name, account, now);
   const bool queued =
       account.reserved_amount > 0 || !account.CanSpend(charge.amount, now);
   // Requests far beyond the rate are refused at once, before they queue: the
   // answer is final and says when to come back.
   if (queued && Hopeless(name, account, charge.amount, deadline, now)) {
-    return account.Refuse(charge);
+    return account.Refuse(charge, now);
   }
   return boost::outcome_v2::success();
 }
--- a/src/budget/internal/share_budgets.h
+++ b/src/budget/internal/share_budgets.h
@@ -10,6 +10,7 @@
 #include "budget/budgets.h"
 #include "budget/internal/budget_account.h"
 #include "budget/internal/lease_exchange.h"
+#include "budget/internal/token_exchange.h"
 #include "framework/kernel/periodic_task.h"
 
 namespace redwing {
@@ -23,8 +24,9 @@
 class SteeringConfig;
 struct Identity;
 
-// Budgets by shares: each instance spends from its own share without a
-// message, and lends what it does not need to peers that are short.
+// Budgets by shares: a few instances of each region own them. An owner spends
+// from its own share without a message, and lends what it does not need to
+// other owners that are short; all other instances draw tokens from an owner.
 class ShareBudgets : public Budgets {
  public:
   ShareBudgets(boost::asio::io_context& io,
@@ -72,6 +74,8 @@
                 double amount,
                 TimePoint deadline,
                 TimePoint now);
+  // Gets tokens from elsewhere where those held here do not suffice.
+  void Refill(const std::string& name, BudgetAccount& account, TimePoint now);
   // Takes a charge into the demand; fails where its queue is too long already.
   Result<void> Announce(const std::string& name,
                         BudgetAccount& account,
@@ -86,6 +90,7 @@
   std::shared_ptr<ShareLedger> ledger_;
   AccountMap accounts_;
   LeaseExchange leases_;
+  TokenExchange tokens_;
   PeriodicTask tick_;
 };
 
--- a/src/budget/internal/share_ledger.cc
+++ b/src/budget/internal/share_ledger.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 
+#include "budget/internal/share_owners.h"
 #include "config/replicated_state.h"
 #include "config/steering_config.h"
 #include "framework/kernel/sleep.h"
@@ -80,6 +81,12 @@
   return static_cast<double>(parts) / static_cast<double>(ShareHolders::kWhole);
 }
 
+bool ShareLedger::owns() const {
+  const auto own = holders_.by_instance.find(identity_->name);
+  return own != holders_.by_instance.end() && !own->second.revoked &&
+         own->second.process_id == identity_->process_id;
+}
+
 void ShareLedger::Loop(const Yield& yield) {
   std::uniform_int_distribution<int64_t> jitter(kMinJitterMs, kMaxJitterMs);
   while (!stopped_) {
@@ -100,6 +107,12 @@
 
 void ShareLedger::ApplyEntry(const std::string& body) {
   holders_ = ShareHolders::Parse(body);
+  owners_.clear();
+  for (const auto& [name, holder] : holders_.by_instance) {
+    if (!holder.revoked) {
+      owners_.insert(name);
+    }
+  }
   const auto own = holders_.by_instance.find(identity_->name);
   const bool inherits = own != holders_.by_instance.end() &&
                         own->second.inherited &&
@@ -116,6 +129,9 @@
     planned.by_instance.erase(identity_->name);
     return planned;
   }
+  if (!IsToOwn(published, *identity_, membership_->members())) {
+    return published;
+  }
   ShareHolder& own = planned.by_instance[identity_->name];
   const bool known = !own.process_id.empty();
   if (own.revoked && own.process_id == identity_->process_id && lent_source_ &&
@@ -143,7 +159,8 @@
 void ShareLedger::PlanOwn(ShareHolders* holders, BudgetScope scope) const {
   ShareHolder& own = holders->by_instance[identity_->name];
   const int64_t wanted =
-      ShareHolders::kWhole / static_cast<int64_t>(ExpectedHolders(scope));
+      ShareHolders::kWhole / static_cast<int64_t>(OwnerCount(
+                                 scope, *identity_, membership_->members()));
   const int64_t held = own.parts(scope);
   const int64_t free = holders->FreeParts(scope, identity_->region);
   if (!NeedsMove(held, wanted)) {
@@ -188,18 +205,6 @@
   }
 }
 
-size_t ShareLedger::ExpectedHolders(BudgetScope scope) const {
-  size_t count = 1;
-  for (const auto& [name, member] : membership_->members()) {
-    const bool counts = member.listed || member.usable();
-    if (counts && member.state != MemberState::kLeaving &&
-        (scope == BudgetScope::kFleet || member.region == identity_->region)) {
-      ++count;
-    }
-  }
-  return count;
-}
-
 Errc ShareLedger::Publish(const ShareHolders& planned, const Yield& yield) {
   const auto own = planned.by_instance.find(identity_->name);
   for (const BudgetScope scope : kScopes) {
@@ -236,6 +241,12 @@
     lowered_[scope] = std::min(lowered_[scope], parts);
   }
   on_change_.Notify();
+  if (next == base) {
+    // Others have filled the places meanwhile.
+    lowered_.clear();
+    state_->Apply({std::string(kSharesName), revision, base.Text()});
+    return Errc::kOk;
+  }
   if (LentBeyondLowered()) {
     return Errc::kOk;
   }
--- a/src/budget/internal/share_ledger.h
+++ b/src/budget/internal/share_ledger.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 
 #include "budget/budget_spec.h"
@@ -25,6 +26,8 @@
 
 // Who owns which part of all budgets, agreed on through one object of the
 // store that changes by conditional update and spreads like the configuration.
+// A few instances of each region own one; the others neither hold nor write
+// anything.
 //
 // A giver lowers its own share before it publishes; a taker takes only what is
 // published as free. The share of an instance that the platform no longer
@@ -55,6 +58,14 @@
   // Part of the budgets of a scope that this instance may spend, 0 to 1.
   double OwnShare(BudgetScope scope, TimePoint now) const;
 
+  // Names of the instances that own a share.
+  const std::set<std::string>& owners() const { return owners_; }
+  bool IsOwner(const std::string& instance) const {
+    return owners_.count(instance) > 0;
+  }
+  // Returns whether this process owns one, from which it spends or soon will.
+  bool owns() const;
+
   // Tells that the own share may have changed.
   Channel<>& on_change() { return on_change_; }
 
@@ -65,7 +76,6 @@
   ShareHolders Plan(const ShareHolders& published, TimePoint now);
   void PlanOwn(ShareHolders* holders, BudgetScope scope) const;
   void PlanTakeOvers(ShareHolders* holders, TimePoint now);
-  size_t ExpectedHolders(BudgetScope scope) const;
   Errc Publish(const ShareHolders& planned, const Yield& yield);
   // Returns whether more is lent than would remain of the own share.
   bool LentBeyondLowered() const;
@@ -79,6 +89,7 @@
   std::shared_ptr<Membership> membership_;
   std::shared_ptr<SteeringConfig> config_;
   ShareHolders holders_;
+  std::set<std::string> owners_;
   // Own share after lowering, while the lowering is not yet published.
   std::map<BudgetScope, int64_t> lowered_;
   // What a former process of this instance held is spent from then on.
--- a/src/budget/internal/share_reservation.cc
+++ b/src/budget/internal/share_reservation.cc
@@ -25,8 +25,7 @@
     return false;
   }
   for (const Part& part : parts_) {
-    part.account->bucket.TrySpend(part.charge.amount, now);
-    part.account->spent += part.charge.amount;
+    part.account->TrySpend(part.charge.amount, now);
   }
   Withdraw();
   return true;
@@ -42,7 +41,7 @@
     // Tokens came just as the request gave up.
     return NotRun(Errc::kRateExceeded, "no tokens in time", kMinRetryAfter);
   }
-  return short_part->account->Refuse(short_part->charge);
+  return short_part->account->Refuse(short_part->charge, now);
 }
 
 void ShareReservation::Withdraw() {
--- a/src/budget/share_bucket.h
+++ b/src/budget/share_bucket.h
@@ -5,6 +5,7 @@
 
 #include "budget/budget_spec.h"
 #include "budget/share_lease.h"
+#include "budget/token_draw.h"
 
 namespace redwing {
 
@@ -16,6 +17,9 @@
 // tokens to at most the burst. A lease counts for the borrower from the grant
 // until `until` on the borrower's clock, which starts when the request was
 // sent; for the lender until after that. So at no instant do both count it.
+// Tokens that were drawn by other instances count against the capacity until
+// they are known to be spent or can no longer be, so that they and the tokens
+// held never pass the share's burst together.
 class ShareBucket {
  public:
   ShareBucket(BudgetSpec spec, TimePoint now);
@@ -38,7 +42,9 @@
   // Tokens as of the last call that had the time.
   double held_tokens() const { return tokens_; }
   double Rate() const { return EffectiveShare() * spec_.rate; }
-  double Capacity() const { return EffectiveShare() * spec_.burst; }
+  double Capacity() const;
+  // Part of the own share that neither leases nor drawn tokens take up.
+  double FreeShare() const;
 
   // Lends a part of the own share: takes it and its part of the tokens out and
   // returns the tokens to hand over.
@@ -51,6 +57,8 @@
   // Extends a borrowed lease. Returns false when it has ended.
   bool ExtendBorrowed(uint64_t id, TimePoint until, TimePoint now);
 
+  // Returns whether drawn tokens rest on other shares than a borrowed lease.
+  bool CanReturn(const ShareLease& lease) const;
   // Gives a borrowed lease up; returns its part of the tokens.
   double Return(uint64_t id, TimePoint now);
   // Ends a lease lent to `peer` that was returned; without effect when it has
@@ -60,13 +68,26 @@
                 double tokens,
                 TimePoint now);
 
+  // Hands tokens to another instance. Returns false when there are too few, or
+  // when the shares that last as long as the draw do not hold all drawn ones.
+  bool HandOut(const TokenDraw& draw, TimePoint now);
+  // Ends a draw whose tokens `peer` has spent.
+  void Settle(uint64_t id, const std::string& peer, TimePoint now);
+  // Tokens that other instances may still spend.
+  double drawn_tokens() const;
+
   const std::vector<ShareLease>& lent() const { return lent_; }
   const std::vector<ShareLease>& borrowed() const { return borrowed_; }
 
  private:
-  // Refills up to `now`, ending leases at their time.
+  // Refills up to `now`, ending leases and draws at their time.
   void Advance(TimePoint now);
   void Accrue(TimePoint until);
+  void EndPassed(TimePoint now);
+  // The own share that is not lent, and what was borrowed beyond a time.
+  double ShareLasting(TimePoint until) const;
+  // The first end of a lease or draw, `none` if it comes first.
+  TimePoint NextEnd(TimePoint none) const;
   void Clamp();
 
   BudgetSpec spec_;
@@ -75,6 +96,7 @@
   TimePoint updated_at_;
   std::vector<ShareLease> lent_;
   std::vector<ShareLease> borrowed_;
+  std::vector<TokenDraw> drawn_;
 };
 
 }  // namespace redwing
--- a/src/budget/tests/share_bucket_test.cc
+++ b/src/budget/tests/share_bucket_test.cc
@@ -2,8 +2,11 @@
 
 #include <catch2/catch.hpp>
 #include <random>
+#include <string>
 #include <vector>
 
+#include "budget/drawn_tokens.h"
+
 namespace redwing {
 namespace {
 
@@ -147,5 +150,134 @@
   CHECK(worst <= kTolerance);
 }
 
+TEST_CASE("drawn tokens count against the capacity until they are settled") {
+  ShareBucket owner = MakeBucket(0.5);
+  owner.Tokens(At(1000));
+  CHECK(owner.HandOut({1, "peer", 4, At(2000)}, At(1000)));
+  CHECK_FALSE(owner.HandOut({2, "peer", 7, At(2000)}, At(1000)));
+  CHECK(owner.Tokens(At(1900)) == Approx(6));
+  owner.Settle(1, "other", At(1900));
+  CHECK(owner.Capacity() == Approx(6));
+  owner.Settle(1, "peer", At(1900));
+  CHECK(owner.Capacity() == Approx(10));
+  CHECK(owner.HandOut({3, "peer", 4, At(2000)}, At(1900)));
+  // At its end a draw is over, told or not.
+  CHECK(owner.Tokens(At(2500)) == Approx(10));
+}
+
+TEST_CASE("drawn tokens cannot be lent as well, nor outlive a borrowed share") {
+  ShareBucket owner = MakeBucket(0.5);
+  owner.Tokens(At(1000));
+  CHECK(owner.HandOut({1, "peer", 4, At(2000)}, At(1000)));
+  CHECK(owner.FreeShare() == Approx(0.5 - 4 / kBurst));
+  owner.Borrow({2, "lender", 0.2, At(1500)}, 2, At(1000));
+  // With the borrowed share there is room for four more, but not beyond it.
+  CHECK(owner.HandOut({3, "peer", 6, At(2000)}, At(1000)));
+  owner.Tokens(At(1400));
+  CHECK_FALSE(owner.HandOut({4, "peer", 1, At(2000)}, At(1400)));
+  CHECK(owner.HandOut({4, "peer", 1, At(1450)}, At(1400)));
+  CHECK_FALSE(owner.CanReturn(owner.borrowed().front()));
+}
+
+// An instance that owns nothing, and the draws on their way to it.
+struct Drawer {
+  struct Grant {
+    TokenDraw draw;
+    int arrives_ms = 0;
+  };
+  DrawnTokens tokens;
+  std::vector<Grant> grants;
+};
+
+// Owners that lend shares and hand out tokens, and instances that draw them,
+// with grants and settlements lost and late, never admit more than
+// rate x time + burst together.
+TEST_CASE("random draws and lending never admit more than the whole budget") {
+  const uint64_t seed = GENERATE(range<uint64_t>(1, 201));
+  CAPTURE(seed);
+  std::mt19937_64 random(seed);
+  constexpr int kOwners = 3;
+  constexpr int kDrawers = 6;
+  constexpr int kEndMs = 10'000;
+  constexpr int kTermMs = 300;
+  std::vector<ShareBucket> owners(kOwners, MakeBucket(1.0 / kOwners));
+  std::vector<Drawer> drawers(kDrawers);
+  std::vector<double> admitted_at;
+  uint64_t next_id = 1;
+  for (int ms = 0; ms < kEndMs; ms += 5) {
+    const TimePoint now = At(ms);
+    const size_t from = random() % kOwners;
+    const size_t to = random() % kOwners;
+    if (from != to && random() % 8 == 0) {
+      owners[from].Tokens(now);
+      const double share = owners[from].FreeShare() *
+                           (static_cast<double>(random() % 100) / 100);
+      if (share > 0) {
+        const double tokens = owners[from].Lend(
+            {next_id, std::to_string(to), share, At(ms + 410)}, now);
+        owners[to].Borrow({next_id, std::to_string(from), share, At(ms + 400)},
+                          tokens, now);
+        ++next_id;
+      }
+    }
+    if (random() % 8 == 0 && !owners[to].borrowed().empty()) {
+      owners[to].Tokens(now);
+      const std::vector<ShareLease> leases = owners[to].borrowed();
+      if (!leases.empty() && owners[to].CanReturn(leases.back())) {
+        const ShareLease& lease = leases.back();
+        const double tokens = owners[to].Return(lease.id, now);
+        owners[std::stoul(lease.peer)].TakeBack(lease.id, std::to_string(to),
+                                                tokens, now);
+      }
+    }
+    Drawer& drawer = drawers[random() % kDrawers];
+    const int sent_ms = ms - static_cast<int>(random() % 50);
+    const double amount = static_cast<double>(1 + random() % 3);
+    if (owners[from].HandOut({next_id, "peer", amount, At(ms + kTermMs + 10)},
+                             now)) {
+      if (random() % 5 != 0) {
+        drawer.grants.push_back(
+            {{next_id, std::to_string(from), amount, At(sent_ms + kTermMs)},
+             ms + static_cast<int>(random() % 400)});
+      }
+      ++next_id;
+    }
+    for (Drawer& other : drawers) {
+      for (const Drawer::Grant& grant : other.grants) {
+        if (grant.arrives_ms >= ms && grant.arrives_ms < ms + 5) {
+          other.tokens.Add(grant.draw, now);
+        }
+      }
+      // Now and then it is paused and spends nothing for a while.
+      while (random() % 2 != 0 && other.tokens.Amount(now) >= 1) {
+        other.tokens.Spend(1, now);
+        admitted_at.push_back(ms / 1000.0);
+      }
+      if (random() % 3 != 0) {
+        for (size_t owner = 0; owner < kOwners; ++owner) {
+          for (const uint64_t id :
+               other.tokens.TakeSpent(std::to_string(owner))) {
+            owners[owner].Settle(id, "peer", now);
+          }
+        }
+      }
+    }
+    for (ShareBucket& owner : owners) {
+      while (random() % 8 == 0 && owner.TrySpend(1, now)) {
+        admitted_at.push_back(ms / 1000.0);
+      }
+    }
+  }
+  double lowest = 0;
+  double worst = 0;
+  for (size_t i = 0; i < admitted_at.size(); ++i) {
+    lowest = std::min(lowest, static_cast<double>(i) - kRate * admitted_at[i]);
+    worst = std::max(worst, static_cast<double>(i + 1) -
+                                kRate * admitted_at[i] - lowest - kBurst);
+  }
+  CHECK(admitted_at.size() > 200);
+  CHECK(worst <= kTolerance);
+}
+
 }  // namespace
 }  // namespace redwing
--- /dev/null
+++ b/src/budget/token_draw.h
@@ -0,0 +1,22 @@
+#ifndef REDWING_BUDGET_TOKEN_DRAW_H_
+#define REDWING_BUDGET_TOKEN_DRAW_H_
+
+#include <cstdint>
+#include <string>
+
+#include "framework/kernel/clock.h"
+
+namespace redwing {
+
+// Tokens of a budget that an owner of a share has handed to another instance.
+struct TokenDraw {
+  uint64_t id = 0;
+  std::string peer;
+  double amount = 0;
+  // Not spent later than this, on the clock of the instance that counts it.
+  TimePoint until;
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_BUDGET_TOKEN_DRAW_H_
--- a/src/framework/wire/envelope.h
+++ b/src/framework/wire/envelope.h
@@ -16,6 +16,8 @@
   kLeaseReturn = 6,
   kStatePull = 7,
   kStateReply = 8,
+  kTokenRequest = 9,
+  kTokenGrant = 10,
 };
 
 // A message with its sender. `sequence` grows with each message of one
