Heartbeats keep to a number of messages a second; pulls ask who has more

Change: the interval grows with the number of members (10 ms each in the region, 30 ms elsewhere) and so does the silence that makes one suspect; each beat relays the life of eight members of the region; a change is told at once to four near and two far members, who do the same. Heartbeats carry the sum of revisions, and only who has as much or more is asked, ten times a second at the most; replies are compressed with zlib.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PACKAGES := g++ cmake ninja-build ccache patch clang-format clang-tidy \
   libboost-dev libboost-coroutine-dev libboost-context-dev libboost-thread-dev libboost-chrono-dev \
   libcereal-dev libcli11-dev libspdlog-dev libfmt-dev nlohmann-json3-dev \
-  catch2 libtrompeloeil-cpp-dev libsodium-dev libxxhash-dev
+  catch2 libtrompeloeil-cpp-dev libsodium-dev libxxhash-dev zlib1g-dev
 SUDO := $(if $(filter 0,$(shell id -u)),,sudo)
 JOBS := $(shell nproc)
 
--- a/cmake/RedwingModule.cmake
+++ b/cmake/RedwingModule.cmake
@@ -24,6 +24,7 @@
   find_package(Catch2 2 REQUIRED)
 endif()
 find_package(Threads REQUIRED)
+find_package(ZLIB REQUIRED)
 find_library(SODIUM_LIBRARY sodium REQUIRED)
 find_library(XXHASH_LIBRARY xxhash REQUIRED)
 
@@ -36,7 +37,7 @@
   REDWING_VERSION="${PROJECT_VERSION}")
 target_link_libraries(redwing_options INTERFACE
   Boost::coroutine Boost::context spdlog::spdlog fmt::fmt nlohmann_json::nlohmann_json
-  ${SODIUM_LIBRARY} ${XXHASH_LIBRARY} Threads::Threads)
+  ${SODIUM_LIBRARY} ${XXHASH_LIBRARY} Threads::Threads ZLIB::ZLIB)
 
 # redwing_module(NAME [DEPS modules...]): a static library of the folder's sources and, where
 # there is a tests/ folder, a Catch2 executable registered with ctest.
--- a/src/config/internal/document_config.cc
+++ b/src/config/internal/document_config.cc
@@ -46,6 +46,9 @@
     drains_ = Drains::Parse(entry.body);
   } else if (entry.name == kListingName) {
     ApplyListing(entry);
+  } else {
+    // Of other modules.
+    return;
   }
   on_change_.Notify();
 }
--- a/src/config/internal/peer_sync.cc
+++ b/src/config/internal/peer_sync.cc
@@ -8,9 +8,11 @@
 #include "config/replicated_state.h"
 #include "config/state_feed.h"
 #include "framework/kernel/spawn.h"
+#include "framework/log/log.h"
 #include "framework/metrics/metrics.h"
 #include "framework/peer/peer_transport.h"
 #include "framework/settings/endpoint.h"
+#include "framework/wire/compression.h"
 #include "framework/wire/payload.h"
 #include "keys/key_ring.h"
 #include "membership/identity.h"
@@ -23,6 +25,8 @@
 constexpr Milliseconds kPushInterval{100};
 constexpr Milliseconds kPushFor{60'000};
 constexpr size_t kPerDatagram = 50;
+// A reply that is larger once it is decompressed is refused.
+constexpr size_t kMaxReplyBytes = 64 * 1024 * 1024;
 }  // namespace
 
 PeerSync::PeerSync(boost::asio::io_context& io,
@@ -45,6 +49,7 @@
   membership_ = std::move(membership);
   membership_->AddBeatSource([this](Heartbeat& heartbeat) {
     heartbeat.state_digest = state_->digest();
+    heartbeat.state_sum = state_->revision_sum();
     heartbeat.withdrawn_hash = keys_->withdrawn_hash();
   });
   membership_->SetStateComparer(
@@ -117,19 +122,31 @@
       heartbeat.withdrawn_hash == keys_->withdrawn_hash()) {
     return true;
   }
+  // Who holds less has nothing for us; it asks us. Of equal sums either may.
+  const bool may_have_news =
+      !state_->complete() || heartbeat.state_sum >= state_->revision_sum() ||
+      heartbeat.withdrawn_hash != keys_->withdrawn_hash();
+  if (!may_have_news) {
+    return false;
+  }
   const Member* const member = membership_->Find(name);
   const bool near = member != nullptr && member->region == identity_->region;
   // An instance without a complete state asks whoever has one.
-  if (pulls_.MayPull(name, near || !state_->complete(), Clock::now())) {
-    Spawn(io_, [this, name](const Yield& yield) { Pull(name, yield); });
+  const bool soon = near || !state_->complete();
+  if (pulls_.MayPull(soon, Clock::now())) {
+    Spawn(io_, [this, name, soon](const Yield& yield) {
+      if (!Pull(name, yield)) {
+        pulls_.ForgetPull(soon);
+      }
+    });
   }
   return false;
 }
 
-void PeerSync::Pull(const std::string& name, const Yield& yield) {
+bool PeerSync::Pull(const std::string& name, const Yield& yield) {
   const Member* const member = membership_->Find(name);
   if (member == nullptr) {
-    return;
+    return false;
   }
   const TimePoint begun = Clock::now();
   metrics_.Get("redwing_state_pulls_total", "State pulls from peers, in calls")
@@ -138,11 +155,17 @@
       TcpEndpoint(member->peer_address), MessageKind::kStatePull,
       EncodePayload(StatePull{state_->Revisions()}), kPullTimeout, yield);
   if (!bytes) {
-    return;
+    spdlog::info("event=pull_failed member={} reason={}", name,
+                 Quoted(bytes.error().detail));
+    return false;
   }
-  const Result<StateReply> reply = DecodePayload<StateReply>(bytes.value());
+  const Result<std::string> payload = Decompress(bytes.value(), kMaxReplyBytes);
+  const Result<StateReply> reply =
+      payload ? DecodePayload<StateReply>(payload.value()) : payload.error();
   if (!reply) {
-    return;
+    spdlog::warn("event=pull_unreadable member={} reason={}", name,
+                 Quoted(reply.error().detail));
+    return false;
   }
   for (const StateEntry& entry : reply.value().entries) {
     state_->Apply(entry);
@@ -154,6 +177,7 @@
     state_->MarkComplete();
     membership_->MarkSynced(name, begun);
   }
+  return true;
 }
 
 std::string PeerSync::AnswerPull(const Envelope& envelope) {
@@ -164,7 +188,12 @@
     reply.entries = state_->NewerThan(pull.value().revisions);
     reply.withdrawn = keys_->Withdrawals();
   }
-  return EncodePayload(reply);
+  const Result<std::string> bytes = Compress(EncodePayload(reply));
+  if (!bytes) {
+    spdlog::error("event=pull_unanswered member={} reason={}", envelope.sender,
+                  Quoted(bytes.error().detail));
+  }
+  return bytes ? bytes.value() : std::string();
 }
 
 void PeerSync::HandleWithdrawal(const Envelope& envelope) {
@@ -224,7 +253,7 @@
   beat_scheduled_ = true;
   boost::asio::post(io_, [this]() {
     beat_scheduled_ = false;
-    membership_->BeatNow();
+    membership_->BeatFew();
   });
 }
 
--- a/src/config/internal/peer_sync.h
+++ b/src/config/internal/peer_sync.h
@@ -52,7 +52,8 @@
   };
 
   bool StateEquals(const std::string& name, const Heartbeat& heartbeat);
-  void Pull(const std::string& name, const Yield& yield);
+  // Returns whether the peer has answered.
+  bool Pull(const std::string& name, const Yield& yield);
   std::string AnswerPull(const Envelope& envelope);
   void HandleWithdrawal(const Envelope& envelope);
   void HandleAck(const Envelope& envelope);
--- a/src/config/internal/pull_limiter.cc
+++ b/src/config/internal/pull_limiter.cc
@@ -2,8 +2,8 @@
 
 namespace redwing {
 
-bool PullLimiter::MayPull(const std::string& peer, bool near, TimePoint now) {
-  TimePoint& last = near ? near_[peer] : remote_;
+bool PullLimiter::MayPull(bool near, TimePoint now) {
+  TimePoint& last = near ? near_ : remote_;
   const Milliseconds interval = near ? kNearInterval : kRemoteInterval;
   if (last != TimePoint() && now - last < interval) {
     return false;
--- a/src/config/internal/pull_limiter.h
+++ b/src/config/internal/pull_limiter.h
@@ -1,16 +1,12 @@
 #ifndef REDWING_CONFIG_INTERNAL_PULL_LIMITER_H_
 #define REDWING_CONFIG_INTERNAL_PULL_LIMITER_H_
 
-#include <map>
-#include <string>
-
 #include "framework/kernel/clock.h"
 
 namespace redwing {
 
-// Bounds how often state is pulled from peers whose state differs. Peers of the
-// own region are asked each for itself; those of other regions together, since
-// what one of them has, the others mostly have as well.
+// Bounds how often state is pulled from peers whose state differs, whatever
+// their number: what one of them has, the others mostly have as well.
 class PullLimiter {
  public:
   static constexpr Milliseconds kNearInterval{100};
@@ -18,11 +14,14 @@
   // are cut off hears of changes in this way alone.
   static constexpr Milliseconds kRemoteInterval{250};
 
-  // Returns whether to pull from a peer now, and notes it.
-  bool MayPull(const std::string& peer, bool near, TimePoint now);
+  // Returns whether to pull from a peer now, and notes it. `near`: of the own
+  // region.
+  bool MayPull(bool near, TimePoint now);
+  // A pull that failed does not count: the next peer may be asked at once.
+  void ForgetPull(bool near) { (near ? near_ : remote_) = TimePoint(); }
 
  private:
-  std::map<std::string, TimePoint> near_;
+  TimePoint near_;
   TimePoint remote_;
 };
 
--- a/src/config/internal/replicated_state.cc
+++ b/src/config/internal/replicated_state.cc
@@ -28,8 +28,10 @@
       return false;
     }
     digest_ ^= HashOf(held->second);
+    revision_sum_ -= held->second.revision;
   }
   digest_ ^= HashOf(entry);
+  revision_sum_ += entry.revision;
   entries_.insert_or_assign(entry.name, entry);
   metrics_
       .Gauge("redwing_state_revision", "Revision in force, by entry",
--- a/src/config/replicated_state.h
+++ b/src/config/replicated_state.h
@@ -36,6 +36,8 @@
   std::vector<StateEntry> NewerThan(const RevisionMap& revisions) const;
   // Hash of all names and revisions, equal on instances with equal state.
   uint64_t digest() const { return digest_; }
+  // Sum of all revisions; grows with each entry taken over.
+  uint64_t revision_sum() const { return revision_sum_; }
 
   // An instance serves only once it holds a complete state, from the store or
   // from a peer that is complete.
@@ -48,6 +50,7 @@
   Metrics& metrics_;
   EntryMap entries_;
   uint64_t digest_ = 0;
+  uint64_t revision_sum_ = 0;
   bool complete_ = false;
   Channel<StateEntry> on_applied_;
 };
--- a/src/membership/internal/heartbeat_membership.cc
+++ b/src/membership/internal/heartbeat_membership.cc
@@ -15,6 +15,16 @@
 namespace {
 constexpr size_t kSentBeatsKept = 1024;
 constexpr int kBeatStartShift = 16;
+// Who is told at once of a change: enough that it is everywhere after a few
+// rounds.
+constexpr size_t kFewNear = 4;
+constexpr size_t kFewFar = 2;
+// Members that one heartbeat tells of.
+constexpr size_t kRelayedMembers = 8;
+
+uint32_t HashOf(const std::string& name) {
+  return static_cast<uint32_t>(Hash64(name));
+}
 
 bool IsWellFormed(const Heartbeat& heartbeat) {
   return std::all_of(heartbeat.identity.begin(), heartbeat.identity.end(),
@@ -46,6 +56,7 @@
       identity_(std::move(identity)),
       options_(options),
       seeds_(std::move(seeds)),
+      random_(std::random_device{}()),
       tick_(io, options.region_interval, [this]() { Tick(); }) {
   // A restart must not take an echo of the former process for its own.
   beat_ = Hash64(identity_->process_id) >> kBeatStartShift;
@@ -100,6 +111,7 @@
     }
     member.listed = true;
     if (added.second) {
+      by_hash_[HashOf(instance.name)] = &member;
       member.name = instance.name;
       member.region = instance.region;
       member.failure_domain = instance.failure_domain;
@@ -118,6 +130,7 @@
       continue;
     }
     const Member removed = member;
+    by_hash_.erase(HashOf(item->first));
     item = members_.erase(item);
     on_change_.Notify(removed);
   }
@@ -145,16 +158,31 @@
   BeatNow();
 }
 
-void HeartbeatMembership::BeatRegion() {
-  Heartbeat heartbeat = MakeHeartbeat();
-  for (const auto& [name, member] : members_) {
-    if (member.region == identity_->region) {
-      SendBeat(heartbeat, member);
+void HeartbeatMembership::BeatDue(TimePoint now) {
+  const Milliseconds near = PaceOf(identity_->region).Interval(CountNear());
+  const Milliseconds far = PaceOf("").Interval(members_.size() - CountNear());
+  std::vector<Member*> due;
+  for (auto& [name, member] : members_) {
+    const Milliseconds interval =
+        member.region == identity_->region ? near : far;
+    // A tick comes at about its time, not after it.
+    if (now - member.last_sent + options_.region_interval / 2 >= interval) {
+      due.push_back(&member);
     }
   }
+  if (due.empty()) {
+    return;
+  }
+  Heartbeat heartbeat = MakeHeartbeat();
+  for (Member* const member : due) {
+    SendBeat(heartbeat, *member, now);
+  }
 }
 
-void HeartbeatMembership::SendBeat(Heartbeat& heartbeat, const Member& member) {
+void HeartbeatMembership::SendBeat(Heartbeat& heartbeat,
+                                   Member& member,
+                                   TimePoint now) {
+  member.last_sent = now;
   heartbeat.identity.clear();
   if (member.knows_incarnation != transport_->incarnation()) {
     heartbeat.identity.push_back(OwnIdentity());
@@ -170,24 +198,53 @@
     // Not listening yet.
     return;
   }
+  const TimePoint now = Clock::now();
   Heartbeat heartbeat = MakeHeartbeat();
-  last_beat_ = Clock::now();
-  std::set<std::string> sent_to = {identity_->peer_address};
+  for (auto& [name, member] : members_) {
+    SendBeat(heartbeat, member, now);
+  }
+  BeatSeeds(now);
+}
+
+void HeartbeatMembership::BeatSeeds(TimePoint now) {
+  last_seed_beat_ = now;
+  std::set<std::string> known = {identity_->peer_address};
   for (const auto& [name, member] : members_) {
-    SendBeat(heartbeat, member);
-    sent_to.insert(member.peer_address);
+    known.insert(member.peer_address);
   }
-  heartbeat.echoed_beat = 0;
-  heartbeat.incarnation_seen = 0;
-  heartbeat.identity = {OwnIdentity()};
   for (const std::string& seed : seeds_) {
-    if (sent_to.insert(seed).second) {
+    if (known.insert(seed).second) {
+      Heartbeat heartbeat = MakeHeartbeat();
+      heartbeat.identity = {OwnIdentity()};
       transport_->Send(UdpEndpoint(seed), MessageKind::kHeartbeat,
                        EncodePayload(heartbeat));
     }
   }
 }
 
+void HeartbeatMembership::BeatFew() {
+  if (identity_->http_address.empty()) {
+    return;
+  }
+  std::vector<Member*> near;
+  std::vector<Member*> far;
+  for (auto& [name, member] : members_) {
+    if (member.state != MemberState::kSuspect) {
+      (member.region == identity_->region ? near : far).push_back(&member);
+    }
+  }
+  std::shuffle(near.begin(), near.end(), random_);
+  std::shuffle(far.begin(), far.end(), random_);
+  near.resize(std::min(near.size(), kFewNear));
+  far.resize(std::min(far.size(), kFewFar));
+  near.insert(near.end(), far.begin(), far.end());
+  const TimePoint now = Clock::now();
+  Heartbeat heartbeat = MakeHeartbeat();
+  for (Member* const member : near) {
+    SendBeat(heartbeat, *member, now);
+  }
+}
+
 void HeartbeatMembership::AddBeatSource(
     std::function<void(Heartbeat&)> source) {
   beat_sources_.push_back(std::move(source));
@@ -211,10 +268,11 @@
         .Add();
     on_pause_.Notify(gap);
   }
-  if (now - last_beat_ >= options_.heartbeat_interval) {
-    BeatNow();
-  } else {
-    BeatRegion();
+  if (!identity_->http_address.empty()) {
+    BeatDue(now);
+    if (now - last_seed_beat_ >= options_.heartbeat_interval) {
+      BeatSeeds(now);
+    }
   }
   FindSuspects(now);
 }
@@ -240,6 +298,7 @@
     return;
   }
   Member& member = members_[envelope.sender];
+  by_hash_[HashOf(envelope.sender)] = &member;
   member.name = envelope.sender;
   if (!heartbeat.identity.empty()) {
     SetIdentity(heartbeat.identity.front(), &member);
@@ -250,9 +309,11 @@
   member.incarnation_seen = envelope.incarnation;
   member.beat_to_echo = std::max(member.beat_to_echo, heartbeat.beat);
   member.last_heard = Clock::now();
+  member.heard_directly_at = member.last_heard;
   NoteSync(member, heartbeat);
   UpdateState(member,
               heartbeat.leaving ? MemberState::kLeaving : MemberState::kAlive);
+  ApplyRelayed(member, heartbeat);
   on_heartbeat_.Notify(member, heartbeat);
 }
 
@@ -277,11 +338,58 @@
   on_change_.Notify(member);
 }
 
+void HeartbeatMembership::ApplyRelayed(const Member& teller,
+                                       const Heartbeat& heartbeat) {
+  const TimePoint now = Clock::now();
+  for (const RelayedBeat& relayed : heartbeat.relayed) {
+    const auto found = by_hash_.find(relayed.name_hash);
+    if (found == by_hash_.end()) {
+      continue;
+    }
+    Member& member = *found->second;
+    const TimePoint heard = now - Milliseconds(relayed.age_ms);
+    // Only who has told who it is can be used.
+    if (member.region != teller.region || heard <= member.last_heard ||
+        member.state == MemberState::kUnknown) {
+      continue;
+    }
+    member.last_heard = heard;
+    member.ready = relayed.ready;
+    UpdateState(member,
+                relayed.leaving ? MemberState::kLeaving : MemberState::kAlive);
+  }
+}
+
+void HeartbeatMembership::RelayMembers(Heartbeat* heartbeat) {
+  const TimePoint now = Clock::now();
+  auto next = members_.upper_bound(last_relayed_);
+  for (size_t seen = 0;
+       seen < members_.size() && heartbeat->relayed.size() < kRelayedMembers;
+       ++seen, ++next) {
+    if (next == members_.end()) {
+      next = members_.begin();
+    }
+    const Member& member = next->second;
+    last_relayed_ = next->first;
+    const bool heard = member.state == MemberState::kAlive ||
+                       member.state == MemberState::kLeaving;
+    const Milliseconds age =
+        std::chrono::ceil<Milliseconds>(now - member.heard_directly_at);
+    if (heard && member.region == identity_->region &&
+        age.count() <= UINT16_MAX) {
+      heartbeat->relayed.push_back(
+          {HashOf(next->first), static_cast<uint16_t>(age.count()),
+           member.ready, member.state == MemberState::kLeaving});
+    }
+  }
+}
+
 void HeartbeatMembership::FindSuspects(TimePoint now) {
+  const size_t count = CountNear();
+  const Milliseconds near = PaceOf(identity_->region).SuspicionTimeout(count);
+  const Milliseconds far = PaceOf("").SuspicionTimeout(members_.size() - count);
   for (auto& [name, member] : members_) {
-    const Milliseconds limit = member.region == identity_->region
-                                   ? options_.suspicion_timeout
-                                   : options_.remote_suspicion_timeout;
+    const Milliseconds limit = member.region == identity_->region ? near : far;
     const bool silent = now - member.last_heard > limit;
     if (member.state != MemberState::kUnknown && silent) {
       UpdateState(member, MemberState::kSuspect);
@@ -289,6 +397,24 @@
   }
 }
 
+size_t HeartbeatMembership::CountNear() const {
+  return static_cast<size_t>(
+      std::count_if(members_.begin(), members_.end(),
+                    [this](const MemberMap::value_type& item) {
+                      return item.second.region == identity_->region;
+                    }));
+}
+
+BeatPace HeartbeatMembership::PaceOf(const std::string& region) const {
+  return region == identity_->region
+             ? BeatPace(options_.region_interval,
+                        options_.region_interval_per_member,
+                        options_.suspicion_timeout)
+             : BeatPace(options_.heartbeat_interval,
+                        options_.remote_interval_per_member,
+                        options_.remote_suspicion_timeout);
+}
+
 SenderIdentity HeartbeatMembership::OwnIdentity() const {
   return {identity_->region,       identity_->failure_domain,
           identity_->http_address, identity_->caller_address,
@@ -306,6 +432,7 @@
   for (const std::function<void(Heartbeat&)>& source : beat_sources_) {
     source(heartbeat);
   }
+  RelayMembers(&heartbeat);
   return heartbeat;
 }
 
--- a/src/membership/internal/heartbeat_membership.h
+++ b/src/membership/internal/heartbeat_membership.h
@@ -3,9 +3,13 @@
 
 #include <deque>
 #include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "framework/kernel/periodic_task.h"
+#include "membership/beat_pace.h"
 #include "membership/identity.h"
 #include "membership/membership.h"
 
@@ -40,6 +44,7 @@
   void AnnounceLeaving() override;
   bool leaving() const override { return leaving_; }
   void BeatNow() override;
+  void BeatFew() override;
   void AddBeatSource(std::function<void(Heartbeat&)> source) override;
   void SetStateComparer(
       std::function<bool(const std::string&, const Heartbeat&)> comparer)
@@ -59,11 +64,20 @@
   void NoteSync(Member& member, const Heartbeat& heartbeat);
   void UpdateState(Member& member, MemberState state);
   void FindSuspects(TimePoint now);
+  // Takes over what a member tells of others of its region.
+  void ApplyRelayed(const Member& teller, const Heartbeat& heartbeat);
+  // Adds the next of the own region's members that are heard.
+  void RelayMembers(Heartbeat* heartbeat);
+  // Members of the own region.
+  size_t CountNear() const;
+  // The pace towards a region; that of all other regions is the same.
+  BeatPace PaceOf(const std::string& region) const;
   SenderIdentity OwnIdentity() const;
   Heartbeat MakeHeartbeat();
-  // Beats to the own region go at every tick: its instances share targets.
-  void BeatRegion();
-  void SendBeat(Heartbeat& heartbeat, const Member& member);
+  // Sends heartbeats to the members whose turn it is.
+  void BeatDue(TimePoint now);
+  void BeatSeeds(TimePoint now);
+  void SendBeat(Heartbeat& heartbeat, Member& member, TimePoint now);
 
   Metrics& metrics_;
   std::shared_ptr<Identity> identity_;
@@ -71,13 +85,18 @@
   std::vector<std::string> seeds_;
   std::shared_ptr<PeerTransport> transport_;
   MemberMap members_;
+  // The same by the hash of the name, as others tell of them.
+  std::unordered_map<uint32_t, Member*> by_hash_;
   bool list_known_ = false;
   bool self_listed_ = false;
   bool leaving_ = false;
   uint64_t beat_ = 0;
   std::deque<SentBeat> sent_beats_;
   TimePoint last_tick_;
-  TimePoint last_beat_;
+  TimePoint last_seed_beat_;
+  // Name of the member that was relayed last.
+  std::string last_relayed_;
+  std::mt19937_64 random_;
   std::vector<std::function<void(Heartbeat&)>> beat_sources_;
   std::function<bool(const std::string&, const Heartbeat&)> comparer_;
   Channel<Member, Heartbeat> on_heartbeat_;
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -32,7 +32,13 @@
   bool listed = false;
   // Has a configuration, so that callers may use it.
   bool ready = false;
+  // When it was last known to live, heard itself or through others.
   TimePoint last_heard;
+  // When it was last heard itself. Only this is told to others: what went
+  // through several hands would seem younger by each of its ways.
+  TimePoint heard_directly_at;
+  // When the last heartbeat was sent to it.
+  TimePoint last_sent;
   // When it was first seen in the list.
   TimePoint listed_since;
   // Send time of the latest own heartbeat that the member has answered while
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -19,7 +19,12 @@
   Milliseconds heartbeat_interval{200};
   // Instances of the own region, which share targets, hear more often.
   Milliseconds region_interval{50};
-  // A member not heard for this long is suspect and gets no new work.
+  // With many members the intervals grow to this much for each of them, so
+  // that the messages a second do not.
+  Milliseconds remote_interval_per_member{30};
+  Milliseconds region_interval_per_member{10};
+  // A member not heard for this long, and not for some of its beats, is suspect
+  // and gets no new work.
   Milliseconds suspicion_timeout{1000};
   // The same for members of other regions.
   Milliseconds remote_suspicion_timeout{1000};
@@ -55,6 +60,9 @@
 
   // Sends a heartbeat to all members at once.
   virtual void BeatNow() = 0;
+  // Sends a heartbeat at once to a few members, mostly of the own region, each
+  // of which does the same with what it learns.
+  virtual void BeatFew() = 0;
 
   // Fills the module-specific fields of each outgoing heartbeat.
   virtual void AddBeatSource(std::function<void(Heartbeat&)> source) = 0;
