A request from another region that finds its target full is placed there

Change: the entry that gets such a request finds another place in its own region, unless the request was sent to a target. Leaders are elected by failure domain and kept until one of its members changes; leaving targets are looked up in a set, not in the whole list for each target of each request.

--- a/src/delivery/internal/place_sequence.cc
+++ b/src/delivery/internal/place_sequence.cc
@@ -45,21 +45,28 @@
 Result<void> PlaceSequence::TryNextPlace(Delivery& delivery,
                                          const Yield& yield) {
   const RequestContext& context = delivery.context;
-  if (context.forwarded()) {
-    // Its target was chosen by the entry that the caller uses.
-    delivery.exhausted = !delivery.chosen_target.empty();
-    delivery.chosen_target = context.wanted_target;
-    return delivery.exhausted ? NotRun(Errc::kNoTarget, "the target was tried")
-                              : sender_.SendToTarget(delivery, yield);
+  const std::string& own = services_.identity->region;
+  if (context.forwarded() && delivery.chosen_target.empty()) {
+    return TryWantedTarget(delivery, yield);
+  }
+  if (context.forwarded() &&
+      (context.from_region == own || delivery.sent > 0)) {
+    // The entry that sent it looks for another place itself, and counts what
+    // was sent.
+    delivery.exhausted = true;
+    return NotRun(Errc::kNoTarget, "the target was tried");
   }
   PlaceRequest wanted;
+  wanted.own_caller = !context.forwarded();
   wanted.service = context.service->name;
   wanted.affinity_key = context.route->affinity && !context.affinity_key.empty()
                             ? context.affinity_key
                             : context.request_id;
   wanted.tried_targets = delivery.tried_targets;
-  wanted.may_run_in = [&context](const std::string& region) {
-    return context.MayRunIn(region);
+  // What came from another region looks for its place in this one: the way back
+  // takes far longer than the way to another leader here.
+  wanted.may_run_in = [&context, &own](const std::string& region) {
+    return (!context.forwarded() || region == own) && context.MayRunIn(region);
   };
   wanted.max_wait = AllowedWait(sender_.WaitRequestOf(context));
   const Result<Place> found = services_.placement->FindPlace(wanted);
@@ -77,7 +84,21 @@
                                   : TryLeader(delivery, place, yield);
   if (!result && IsRefusedBeforeSending(result.error().errc)) {
     ++delivery.refusals;
-    services_.placement->TakeBack(place);
+    if (wanted.own_caller) {
+      services_.placement->TakeBack(place);
+    }
+  }
+  return result;
+}
+
+Result<void> PlaceSequence::TryWantedTarget(Delivery& delivery,
+                                            const Yield& yield) {
+  // Chosen by the entry that the caller uses.
+  delivery.chosen_target = delivery.context.wanted_target;
+  delivery.tried_targets.insert(delivery.chosen_target);
+  const Result<void> result = sender_.SendToTarget(delivery, yield);
+  if (!result && IsRefusedBeforeSending(result.error().errc)) {
+    ++delivery.refusals;
   }
   return result;
 }
--- a/src/delivery/internal/place_sequence.h
+++ b/src/delivery/internal/place_sequence.h
@@ -33,6 +33,8 @@
  private:
   // The same where targets are led.
   Result<void> TryNextPlace(Delivery& delivery, const Yield& yield);
+  // Tries the target that the entry which forwarded the request has chosen.
+  Result<void> TryWantedTarget(Delivery& delivery, const Yield& yield);
   Result<void> TryLeader(Delivery& delivery,
                          const Place& place,
                          const Yield& yield);
--- a/src/routing/internal/local_target_router.cc
+++ b/src/routing/internal/local_target_router.cc
@@ -228,6 +228,12 @@
 void LocalTargetRouter::ApplyConfig() {
   const std::shared_ptr<const SteeringDocument> document = config_->document();
   const TimePoint now = Clock::now();
+  leaving_.clear();
+  for (const ListedInstance& instance : config_->listing().instances) {
+    if (instance.leaving) {
+      leaving_.insert(instance.name);
+    }
+  }
   CloseRemovedServices(*document, now);
   for (const auto& [name, service] : document->services()) {
     Pool& pool =
@@ -285,11 +291,7 @@
       drains.regions.count(target.region) > 0) {
     return true;
   }
-  const std::vector<ListedInstance>& listed = config_->listing().instances;
-  return std::any_of(listed.begin(), listed.end(),
-                     [&target](const ListedInstance& instance) {
-                       return instance.leaving && instance.name == target.name;
-                     });
+  return leaving_.count(target.name) > 0;
 }
 
 void LocalTargetRouter::ApplyPeerWork(const Member& member,
--- a/src/routing/internal/local_target_router.h
+++ b/src/routing/internal/local_target_router.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -106,6 +107,8 @@
   std::shared_ptr<Membership> membership_;
   std::shared_ptr<SteeringConfig> config_;
   PoolMap pools_;
+  // Names of targets that the platform lists as leaving.
+  std::set<std::string, std::less<>> leaving_;
   // By target: requests that wait for it alone.
   std::map<std::string, int> waiting_for_;
   std::mt19937_64 random_;
--- a/src/routing/internal/target_leaders.cc
+++ b/src/routing/internal/target_leaders.cc
@@ -20,49 +20,62 @@
 TargetLeaders::TargetLeaders(std::shared_ptr<Identity> identity,
                              std::shared_ptr<Membership> membership)
     : identity_(std::move(identity)), membership_(std::move(membership)) {
-  membership_->on_change().Subscribe(
-      [this](const Member& /*member*/) { leaders_.clear(); });
+  membership_->on_change().Subscribe([this](const Member& member) {
+    by_failure_domain_.erase(member.failure_domain);
+    by_region_.erase(member.region);
+  });
 }
 
 const std::string& TargetLeaders::LeaderOf(const Target& target) {
-  const auto known = leaders_.find(target.name);
-  if (known != leaders_.end()) {
-    return known->second;
+  const std::string& near = ElectFrom(
+      by_failure_domain_[target.failure_domain], target,
+      [&target](const std::string& region, const std::string& domain) {
+        return region == target.region && domain == target.failure_domain;
+      });
+  if (!near.empty()) {
+    return near;
   }
-  return leaders_.emplace(target.name, Elect(target)).first->second;
+  return ElectFrom(
+      by_region_[target.region], target,
+      [&target](const std::string& region, const std::string& /*domain*/) {
+        return region == target.region;
+      });
 }
 
 bool TargetLeaders::IsOwn(const Target& target) {
   return LeaderOf(target) == identity_->name;
 }
 
-std::string TargetLeaders::Elect(const Target& target) const {
-  const std::string near = ElectFrom(target, target.failure_domain);
-  return near.empty() ? ElectFrom(target, "") : near;
-}
-
-std::string TargetLeaders::ElectFrom(const Target& target,
-                                     const std::string& failure_domain) const {
+template <typename Belongs>
+const std::string& TargetLeaders::ElectFrom(Electorate& electorate,
+                                            const Target& target,
+                                            Belongs belongs) {
+  if (!electorate.known) {
+    electorate.known = true;
+    for (const auto& [name, member] : membership_->members()) {
+      if (member.usable() && belongs(member.region, member.failure_domain)) {
+        electorate.entries.push_back(name);
+      }
+    }
+    if (!membership_->leaving() &&
+        belongs(identity_->region, identity_->failure_domain)) {
+      electorate.entries.push_back(identity_->name);
+    }
+  }
+  const auto known = electorate.leaders.find(target.name);
+  if (known != electorate.leaders.end()) {
+    return known->second;
+  }
   std::string best;
   uint64_t best_score = 0;
-  const auto consider = [&](const std::string& name,
-                            const std::string& domain) {
+  for (const std::string& name : electorate.entries) {
     const uint64_t score = Score(name, target);
-    const bool allowed = failure_domain.empty() || domain == failure_domain;
-    if (allowed && (best.empty() || score > best_score)) {
+    if (best.empty() || score > best_score) {
       best = name;
       best_score = score;
     }
-  };
-  for (const auto& [name, member] : membership_->members()) {
-    if (member.usable() && member.region == target.region) {
-      consider(name, member.failure_domain);
-    }
-  }
-  if (target.region == identity_->region && !membership_->leaving()) {
-    consider(identity_->name, identity_->failure_domain);
   }
-  return best;
+  return electorate.leaders.emplace(target.name, std::move(best)).first->second;
 }
 
 }  // namespace redwing
--- a/src/routing/internal/target_leaders.h
+++ b/src/routing/internal/target_leaders.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace redwing {
 
@@ -26,15 +27,25 @@
   bool IsOwn(const Target& target);
 
  private:
-  std::string Elect(const Target& target) const;
-  // Elects among the entries of a failure domain; empty for the whole region.
-  std::string ElectFrom(const Target& target,
-                        const std::string& failure_domain) const;
+  // The entries of a failure domain, or of a region, and whom they elected.
+  struct Electorate {
+    bool known = false;
+    std::vector<std::string> entries;
+    // By name of the target.
+    std::map<std::string, std::string, std::less<>> leaders;
+  };
+
+  // `belongs`: whether an entry, by region and failure domain, has a vote.
+  template <typename Belongs>
+  const std::string& ElectFrom(Electorate& electorate,
+                               const Target& target,
+                               Belongs belongs);
 
   std::shared_ptr<Identity> identity_;
   std::shared_ptr<Membership> membership_;
-  // By name of the target; emptied when the members change.
-  std::map<std::string, std::string, std::less<>> leaders_;
+  // Each is emptied when one of its entries changes.
+  std::map<std::string, Electorate, std::less<>> by_failure_domain_;
+  std::map<std::string, Electorate, std::less<>> by_region_;
 };
 
 }  // namespace redwing
--- a/src/routing/tests/target_leaders_test.cc
+++ b/src/routing/tests/target_leaders_test.cc
@@ -25,6 +25,7 @@
   MAKE_MOCK0(AnnounceLeaving, void(), override);
   bool leaving() const override { return is_leaving; }
   MAKE_MOCK0(BeatNow, void(), override);
+  MAKE_MOCK0(BeatFew, void(), override);
   MAKE_MOCK1(AddBeatSource, void(std::function<void(Heartbeat&)>), override);
   using Comparer = std::function<bool(const std::string&, const Heartbeat&)>;
   MAKE_MOCK1(SetStateComparer, void(Comparer), override);
