A leader's refusal counts as its report of the target

Ruled out: more refusals before a request gives up (each is a way there and back for nothing). Change: a refusal for want of a slot says when one is expected; the entry takes that as the target's load until the next report.

--- a/src/budget/internal/token_exchange.cc
+++ b/src/budget/internal/token_exchange.cc
@@ -1,5 +1,7 @@
 #include "budget/internal/token_exchange.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -147,7 +149,8 @@
                                    (silent == account.silent_until.end() ||
                                     now >= silent->second);
     const bool near = own || (answers && member->region == identity_->region);
-    const std::pair<bool, uint64_t> rank = {near, Hash64(name + "/" + owner)};
+    const std::pair<bool, uint64_t> rank = {
+        near, Hash64(fmt::format("{}/{}", name, owner))};
     if (answers && (near || fleet) && (best.empty() || rank > best_rank)) {
       best = owner;
       best_rank = rank;
--- a/src/delivery/internal/place_sequence.cc
+++ b/src/delivery/internal/place_sequence.cc
@@ -84,6 +84,9 @@
                                   : TryLeader(delivery, place, yield);
   if (!result && IsRefusedBeforeSending(result.error().errc)) {
     ++delivery.refusals;
+    if (result.error().errc == Errc::kQueueFull) {
+      services_.placement->NoteFull(place, result.error().retry_after);
+    }
     if (wanted.own_caller) {
       services_.placement->TakeBack(place);
     }
--- a/src/routing/internal/led_placement.cc
+++ b/src/routing/internal/led_placement.cc
@@ -1,6 +1,7 @@
 #include "routing/internal/led_placement.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "config/steering_config.h"
 #include "framework/wire/digest.h"
@@ -89,8 +90,11 @@
   const Target& target = *targets[*best];
   const std::string& leader = leaders_.LeaderOf(target);
   visited_[target.name].Add(Hash64(request.affinity_key));
-  return Place{target.name, target.region,
+  return Place{request.service,
+               target.name,
+               target.region,
                leader == identity_->name ? "" : leader,
+               target.slots,
                Milliseconds(static_cast<int64_t>(candidates[*best].expected))};
 }
 
@@ -153,6 +157,22 @@
   return lost;
 }
 
+void LedPlacement::NoteFull(const Place& place, Milliseconds wait) {
+  const auto report = reports_.find(HashOf(place.target));
+  if (place.leader.empty() || report == reports_.end() ||
+      report->second.leader != place.leader) {
+    return;
+  }
+  // As good as a report of now: one that is older has missed this load.
+  const double run = std::max(
+      1.0, router_->TimesOf(place.service).warm_ms() * report->second.slowness);
+  const double waiting = static_cast<double>(wait.count()) / run;
+  report->second.work =
+      std::max(report->second.work,
+               static_cast<int>(std::ceil(place.slots * (1 + waiting))));
+  report->second.at = Clock::now();
+}
+
 void LedPlacement::TakeBack(const Place& place) {
   CountPlaced(region_numbers_.at(place.region), -1, Clock::now());
 }
--- a/src/routing/internal/led_placement.h
+++ b/src/routing/internal/led_placement.h
@@ -36,6 +36,7 @@
                double max_shift);
 
   Result<Place> FindPlace(const PlaceRequest& request) override;
+  void NoteFull(const Place& place, Milliseconds wait) override;
   void TakeBack(const Place& place) override;
   void BeginForward(const Place& place) override;
   void EndForward(const Place& place,
--- a/src/routing/place.h
+++ b/src/routing/place.h
@@ -9,10 +9,13 @@
 
 // A target for one request, and the entry that gives out its slots.
 struct Place {
+  std::string service;
   std::string target;
   std::string region;
   // Empty when it is this instance.
   std::string leader;
+  // Of the target.
+  int slots = 1;
   // Time until the answer, as far as is known.
   Milliseconds expected{0};
 };
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -40,7 +40,10 @@
   // kQueueFull, and the shortest wait, when none has a slot in time.
   virtual Result<Place> FindPlace(const PlaceRequest& request) = 0;
 
-  // Tells that the place had no room and the request did not run there.
+  // Tells that the place had no room and the request did not run there. `wait`:
+  // time until its leader expects a slot, 0 where it has said nothing of it.
+  virtual void NoteFull(const Place& place, Milliseconds wait) = 0;
+  // Tells that a request of an own caller was not placed after all.
   virtual void TakeBack(const Place& place) = 0;
 
   // Tells of requests handed to other entries for a target.
