Fleet tests of instances that draw their tokens

Seven instances of one region, of which four own shares: no overrun with an owner paused for longer than its draws last and another one killed and started again, and at half the rate fewer than 1 in 1,000 refused.

--- a/testing/integration/budget_test_fleet.cc
+++ b/testing/integration/budget_test_fleet.cc
@@ -129,6 +129,63 @@
   CheckNoOverrun(fleet.Runs(), "alpha");
 }
 
+// Returns the names of the instances that own a share, from the store.
+std::vector<std::string> Owners(Fleet& fleet) {
+  const json stored = CallJson(
+      http::verb::get, fleet.platform(),
+      "/apis/redwingcart.io/v1/namespaces/default/redwingstates/shares");
+  std::vector<std::string> owners;
+  for (const auto& [name, holder] : stored.at("spec").at("body").items()) {
+    owners.push_back(name);
+  }
+  return owners;
+}
+
+// Four of a region's instances own shares; the others draw tokens from them.
+TEST_CASE("more instances than own shares admit no more than the rate") {
+  constexpr int kMany = 7;
+  constexpr size_t kMostOwners = 4;
+  Fleet fleet(SmallPlan(1, kMany, kRate, kBurst));
+  fleet.Start();
+  const std::string alpha = fleet.IssueKey("alpha");
+  const std::string beta = fleet.IssueKey("beta");
+  json groups = {Group("alpha", alpha, 1, 3 * kRate, 0, 12'000),
+                 Group("beta", beta, 1, 0.5 * kRate, 0, 12'000)};
+  const std::unique_ptr<Process> load =
+      fleet.BeginLoad(Settings(groups, 12'000), "drawn");
+  std::this_thread::sleep_for(Milliseconds(3000));
+  const std::vector<std::string> owners = Owners(fleet);
+  CHECK(owners.size() == kMostOwners);
+  // One that owns is paused for longer than its leases and draws last, then
+  // another one is killed and started again.
+  FleetEntry& paused = fleet.entry(owners.front());
+  FleetEntry& killed = fleet.entry(owners.back());
+  paused.process->Signal(SIGSTOP);
+  std::this_thread::sleep_for(Milliseconds(2500));
+  paused.process->Signal(SIGCONT);
+  std::this_thread::sleep_for(Milliseconds(1000));
+  killed.process->Kill();
+  std::this_thread::sleep_for(Milliseconds(500));
+  fleet.StartEntry(killed);
+  fleet.EndLoad(*load, "drawn");
+  const json runs = fleet.Runs();
+  CheckNoOverrun(runs, "alpha");
+  CheckNoOverrun(runs, "beta");
+  CHECK(RunTimes(runs, "alpha").size() > 0.5 * kRate * 12);
+}
+
+TEST_CASE("instances that own no share are not refused inside the rate") {
+  constexpr int kMany = 7;
+  Fleet fleet(SmallPlan(1, kMany, kRate, kBurst));
+  fleet.Start();
+  const std::string alpha = fleet.IssueKey("alpha");
+  const json groups =
+      json::array({Group("alpha", alpha, 1, 0.5 * kRate, 0, 8'000)});
+  const json report = fleet.RunLoad(Settings(groups, 8'000), "inside");
+  CheckNoOverrun(fleet.Runs(), "alpha");
+  CHECK(RefusedPart(report.at("groups").at("alpha")) <= 0.001);
+}
+
 TEST_CASE("an instance leaves the list for good and its share is taken over") {
   Fleet fleet(SmallPlan(kRegions, kEntries, kRate, kBurst));
   fleet.Start();
