A member may be silent for two intervals, not four

Cause: with the pace that grows with the fleet, four intervals are 10 s for members of other regions at 63 instances and 8 s within a region of 98, beyond the time after which a look-up may not name a dead instance; and on sites of ten machines the silence allowed other regions had grown from 2.5 to 4 s. Change: two intervals; relayed beats stand for those that get lost. Test: few members with a long interval are suspect at the timeout (failed with four).

--- a/src/membership/internal/beat_pace.cc
+++ b/src/membership/internal/beat_pace.cc
@@ -5,8 +5,9 @@
 namespace redwing {
 
 namespace {
-// Heartbeats that may get lost or be late without a member becoming suspect.
-constexpr int kMissedBeats = 4;
+// Intervals for which a member may be silent. Others relay its life meanwhile,
+// so that one lost or late heartbeat does not count.
+constexpr int kSilentIntervals = 2;
 }  // namespace
 
 Milliseconds BeatPace::Interval(size_t members) const {
@@ -14,7 +15,7 @@
 }
 
 Milliseconds BeatPace::SuspicionTimeout(size_t members) const {
-  return std::max(timeout_, kMissedBeats * Interval(members));
+  return std::max(timeout_, kSilentIntervals * Interval(members));
 }
 
 }  // namespace redwing
