--- a/src/framework/wire/bounded_input_archive.h
+++ b/src/framework/wire/bounded_input_archive.h
@@ -30,7 +30,10 @@
     if (size > left_.size()) {
       throw cereal::Exception("message is too short");
     }
-    std::memcpy(data, left_.data(), size);
+    // An empty list has no place to copy to.
+    if (size > 0) {
+      std::memcpy(data, left_.data(), size);
+    }
     left_.remove_prefix(size);
   }
 
