--- a/testing/fuzz/fuzz.cc
+++ b/testing/fuzz/fuzz.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "apps/program_options.h"
+#include "budget/internal/draw_messages.h"
 #include "budget/internal/lease_messages.h"
 #include "budget/internal/share_holders.h"
 #include "config/internal/sync_messages.h"
@@ -23,6 +24,7 @@
 #include "entry/entry_settings.h"
 #include "framework/http/header_check.h"
 #include "framework/http/refusal.h"
+#include "framework/wire/compression.h"
 #include "framework/wire/envelope_codec.h"
 #include "framework/wire/payload.h"
 #include "membership/heartbeat.h"
@@ -39,6 +41,7 @@
 
 namespace {
 
+constexpr size_t kMaxDecompressed = 1 << 20;  // bytes
 constexpr const char* kSecret = "fuzz-secret-fuzz-secret";
 
 using Random = std::mt19937_64;
@@ -129,6 +132,9 @@
   (void)DecodePayload<LeaseRequest>(bytes);
   (void)DecodePayload<LeaseGrant>(bytes);
   (void)DecodePayload<LeaseReturn>(bytes);
+  (void)DecodePayload<TokenRequest>(bytes);
+  (void)DecodePayload<TokenGrant>(bytes);
+  (void)Decompress(bytes, kMaxDecompressed);
   (void)DecodePayload<StatePull>(bytes);
   (void)DecodePayload<StateReply>(bytes);
   (void)DecodePayload<WithdrawalMessage>(bytes);
@@ -164,6 +170,8 @@
   heartbeat.identity.push_back(
       {"r1", "d1", "127.0.0.1:1", "", "127.0.0.1:2", "p"});
   heartbeat.work = {{1, 2}, {3, 4}};
+  heartbeat.placed = {{1, 2}};
+  heartbeat.relayed = {{1, 20, true, false}};
   StateReply reply;
   reply.entries = {{"section.a", 3, "{}"}, {"keys.0", 1, "{}"}};
   reply.withdrawn = {{"0123", "op", 5}};
@@ -191,6 +199,9 @@
       {&FuzzMessage,
        {EncodePayload(heartbeat), EncodePayload(reply),
         EncodePayload(LeaseRequest{1, 2, "workspace/a", 0.5}),
+        EncodePayload(TokenRequest{1, "workspace/a", 2, 1, 3, {4, 5}}),
+        EncodePayload(TokenGrant{1, 2, 3, 500, 20}),
+        Compress(EncodePayload(reply)).value(),
         EnvelopeCodec({kSecret}).Encode(
             {"a", 1, 2, MessageKind::kHeartbeat, "p"}),
         HopSigner({kSecret}).Sign(HopToken())}},
