The paces of heartbeats are made once, and members counted once a tick

A pace was built anew at each use from a region's name, with an empty name for 'any other region', and the members of the own region were counted twice a tick. Change: two paces, near and far, made from the options; one count. Behaviour and bounds stay. Ruled out for now: keeping the count up to date with the members (a region is learnt only with the first beat, and the scan is small).

--- a/src/membership/internal/heartbeat_membership.cc
+++ b/src/membership/internal/heartbeat_membership.cc
@@ -55,6 +55,12 @@
     : metrics_(metrics),
       identity_(std::move(identity)),
       options_(options),
+      near_pace_(options.region_interval,
+                 options.region_interval_per_member,
+                 options.suspicion_timeout),
+      far_pace_(options.heartbeat_interval,
+                options.remote_interval_per_member,
+                options.remote_suspicion_timeout),
       seeds_(std::move(seeds)),
       random_(std::random_device{}()),
       tick_(io, options.region_interval, [this]() { Tick(); }) {
@@ -159,8 +165,9 @@
 }
 
 void HeartbeatMembership::BeatDue(TimePoint now) {
-  const Milliseconds near = PaceOf(identity_->region).Interval(CountNear());
-  const Milliseconds far = PaceOf("").Interval(members_.size() - CountNear());
+  const size_t count = CountNear();
+  const Milliseconds near = near_pace_.Interval(count);
+  const Milliseconds far = far_pace_.Interval(members_.size() - count);
   std::vector<Member*> due;
   for (auto& [name, member] : members_) {
     const Milliseconds interval =
@@ -386,8 +393,8 @@
 
 void HeartbeatMembership::FindSuspects(TimePoint now) {
   const size_t count = CountNear();
-  const Milliseconds near = PaceOf(identity_->region).SuspicionTimeout(count);
-  const Milliseconds far = PaceOf("").SuspicionTimeout(members_.size() - count);
+  const Milliseconds near = near_pace_.SuspicionTimeout(count);
+  const Milliseconds far = far_pace_.SuspicionTimeout(members_.size() - count);
   for (auto& [name, member] : members_) {
     const Milliseconds limit = member.region == identity_->region ? near : far;
     const bool silent = now - member.last_heard > limit;
@@ -405,16 +412,6 @@
                     }));
 }
 
-BeatPace HeartbeatMembership::PaceOf(const std::string& region) const {
-  return region == identity_->region
-             ? BeatPace(options_.region_interval,
-                        options_.region_interval_per_member,
-                        options_.suspicion_timeout)
-             : BeatPace(options_.heartbeat_interval,
-                        options_.remote_interval_per_member,
-                        options_.remote_suspicion_timeout);
-}
-
 SenderIdentity HeartbeatMembership::OwnIdentity() const {
   return {identity_->region,       identity_->failure_domain,
           identity_->http_address, identity_->caller_address,
--- a/src/membership/internal/heartbeat_membership.h
+++ b/src/membership/internal/heartbeat_membership.h
@@ -70,8 +70,6 @@
   void RelayMembers(Heartbeat* heartbeat);
   // Members of the own region.
   size_t CountNear() const;
-  // The pace towards a region; that of all other regions is the same.
-  BeatPace PaceOf(const std::string& region) const;
   SenderIdentity OwnIdentity() const;
   Heartbeat MakeHeartbeat();
   // Sends heartbeats to the members whose turn it is.
@@ -82,6 +80,9 @@
   Metrics& metrics_;
   std::shared_ptr<Identity> identity_;
   MembershipOptions options_;
+  // Towards members of the own region, and of all others.
+  BeatPace near_pace_;
+  BeatPace far_pace_;
   std::vector<std::string> seeds_;
   std::shared_ptr<PeerTransport> transport_;
   MemberMap members_;
