redwing-ctl explains from its id why a request was decided so

State and audit could be asked for, decisions could not. Change: each instance keeps its latest 4,096 decisions on requests, the lines of its log, in a RequestTrail; GET /internal/v1/decisions tells those on one id, GET /v1/decisions of redwing-admin asks all instances, and redwing-ctl explain lists them by time with what could not be asked. Ruled out: reading logs (on other machines, bounded and lossy by design); a store for decisions (writes that grow with requests). The members are asked one after the other: with hundreds of instances the answer takes as many round trips.

--- a/apps/redwing_ctl.cc
+++ b/apps/redwing_ctl.cc
@@ -9,6 +9,7 @@
 
 #include "apps/program_options.h"
 #include "ctl/admin_client.h"
+#include "ctl/decision_list.h"
 #include "ctl/status_table.h"
 #include "ctl/text_diff.h"
 #include "framework/http/url.h"
@@ -63,6 +64,7 @@
   int Undrain() const { return ChangeDrain(false); }
   int Status() const;
   int Watch() const;
+  int Explain() const;
   int Audit() const;
 
  private:
@@ -182,6 +184,17 @@
   }
 }
 
+int Commands::Explain() const {
+  const Result<json> answer =
+      Client().Call(http::verb::get,
+                    "/v1/decisions?request=" + PercentEncode(arguments_.name));
+  if (!answer || arguments_.as_json) {
+    return Print(answer);
+  }
+  fmt::print("{}", DecisionList(answer.value()));
+  return kExitOk;
+}
+
 int Commands::Audit() const {
   if (arguments_.verify) {
     const Result<json> answer =
@@ -361,7 +374,11 @@
         Add("status", "Show what the fleet does", &Commands::Status);
     CLI::App* const watch =
         Add("watch", "Show it again every second", &Commands::Watch);
-    for (CLI::App* const sub : {status, watch}) {
+    CLI::App* const explain =
+        Add("explain", "Show why a request was decided so, over all instances",
+            &Commands::Explain);
+    explain->add_option("request-id", arguments_.name)->required();
+    for (CLI::App* const sub : {status, watch, explain}) {
       sub->add_flag("--json", arguments_.as_json);
     }
     CLI::App* const audit =
--- a/src/admin/fleet_view.h
+++ b/src/admin/fleet_view.h
@@ -23,12 +23,22 @@
   // object with "unreachable".
   Result<nlohmann::json> Status(const Yield& yield);
 
+  // Returns what every instance that answers decided on a request, with the
+  // members of Status().
+  Result<nlohmann::json> Decisions(const std::string& request_id,
+                                   const Yield& yield);
+
   // Withdraws a key by way of the entry beside this process.
   Result<nlohmann::json> Withdraw(const std::string& key_id,
                                   const std::string& by,
                                   const Yield& yield);
 
  private:
+  // Appends what the members in a status answer to `instances`.
+  void AskMembers(const nlohmann::json& status,
+                  const std::string& target,
+                  nlohmann::json* instances,
+                  const Yield& yield);
   Result<nlohmann::json> CallEntry(const std::string& address,
                                    http::verb method,
                                    const std::string& target,
--- a/src/admin/internal/admin_handler.cc
+++ b/src/admin/internal/admin_handler.cc
@@ -94,6 +94,7 @@
       {"GET", {"drains"}, &AdminHandler::GetDrains},
       {"POST", {"drains"}, &AdminHandler::ChangeDrains},
       {"GET", {"status"}, &AdminHandler::FleetStatus},
+      {"GET", {"decisions"}, &AdminHandler::RequestDecisions},
       {"GET", {"audit"}, &AdminHandler::Audit},
       {"GET", {"audit", "verify"}, &AdminHandler::VerifyAudit},
   };
@@ -394,6 +395,20 @@
               {"change_id", result.value().change_id}};
 }
 
+AdminHandler::Answer AdminHandler::RequestDecisions(const Call& call,
+                                                    const Yield& yield) {
+  const std::optional<std::string> id = call.url.Query("request");
+  if (!id) {
+    return NotRun(Errc::kMalformedRequest,
+                  "the parameter \"request\" is missing");
+  }
+  const Result<json> decisions = fleet_.Decisions(*id, yield);
+  if (!decisions) {
+    return decisions.error();
+  }
+  return json{{"instances", decisions.value()}};
+}
+
 AdminHandler::Answer AdminHandler::FleetStatus(const Call& /*call*/,
                                                const Yield& yield) {
   const Result<json> status = fleet_.Status(yield);
--- a/src/admin/internal/admin_handler.h
+++ b/src/admin/internal/admin_handler.h
@@ -61,6 +61,7 @@
   Answer WithdrawKey(const Call& call, const Yield& yield);
   Answer GetDrains(const Call& call, const Yield& yield);
   Answer ChangeDrains(const Call& call, const Yield& yield);
+  Answer RequestDecisions(const Call& call, const Yield& yield);
   Answer FleetStatus(const Call& call, const Yield& yield);
   Answer Audit(const Call& call, const Yield& yield);
   Answer VerifyAudit(const Call& call, const Yield& yield);
--- a/src/admin/internal/fleet_view.cc
+++ b/src/admin/internal/fleet_view.cc
@@ -33,22 +33,48 @@
     return own.error();
   }
   json instances = json::array({own.value()});
-  for (const json& member : own.value().at("members")) {
+  AskMembers(own.value(), std::string(kStatusTarget), &instances, yield);
+  return instances;
+}
+
+Result<json> FleetView::Decisions(const std::string& request_id,
+                                  const Yield& yield) {
+  const Result<json> status = CallEntry(entry_address_, http::verb::get,
+                                        std::string(kStatusTarget), yield);
+  if (!status) {
+    return status.error();
+  }
+  const std::string target = fmt::format("/internal/v1/decisions?request={}",
+                                         PercentEncode(request_id));
+  const Result<json> own =
+      CallEntry(entry_address_, http::verb::get, target, yield);
+  if (!own) {
+    return own.error();
+  }
+  json instances = json::array({own.value()});
+  AskMembers(status.value(), target, &instances, yield);
+  return instances;
+}
+
+void FleetView::AskMembers(const json& status,
+                           const std::string& target,
+                           json* instances,
+                           const Yield& yield) {
+  for (const json& member : status.at("members")) {
     const std::string address = member.value("http_address", "");
     if (!ParseEndpoint(address)) {
       continue;
     }
-    const Result<json> status =
-        CallEntry(address, http::verb::get, std::string(kStatusTarget), yield);
-    if (status) {
-      instances.push_back(status.value());
+    const Result<json> answer =
+        CallEntry(address, http::verb::get, target, yield);
+    if (answer) {
+      instances->push_back(answer.value());
     } else {
-      instances.push_back({{"instance", member.at("instance")},
-                           {"region", member.at("region")},
-                           {"unreachable", status.error().detail}});
+      instances->push_back({{"instance", member.at("instance")},
+                            {"region", member.at("region")},
+                            {"unreachable", answer.error().detail}});
     }
   }
-  return instances;
 }
 
 Result<json> FleetView::Withdraw(const std::string& key_id,
--- a/src/delivery/delivery_options.h
+++ b/src/delivery/delivery_options.h
@@ -1,6 +1,8 @@
 #ifndef REDWING_DELIVERY_DELIVERY_OPTIONS_H_
 #define REDWING_DELIVERY_DELIVERY_OPTIONS_H_
 
+#include <cstddef>
+
 #include "delivery/header_dialect.h"
 #include "delivery/retry_options.h"
 
@@ -16,6 +18,9 @@
   bool hold_answers = false;
   // Requests go to a target by way of the entry that leads it.
   bool led_targets = false;
+  // Latest decisions on requests that are kept for operators' questions: up to
+  // 1 KB each.
+  size_t kept_decisions = 4096;
 };
 
 }  // namespace redwing
--- a/src/delivery/internal/request_carrier.cc
+++ b/src/delivery/internal/request_carrier.cc
@@ -1,6 +1,9 @@
 #include "delivery/internal/request_carrier.h"
 
+#include <fmt/format.h>
+
 #include "config/steering_config.h"
+#include "delivery/internal/decision_log.h"
 #include "delivery/internal/delivery.h"
 #include "delivery/internal/header_rules.h"
 #include "delivery/internal/request_body.h"
@@ -35,7 +38,15 @@
                 services_.freshness,
                 signer_,
                 options_.dialect),
-      sender_(io, sockets, metrics, services_, options_, signer_, admitter_),
+      trail_(options_.kept_decisions),
+      sender_(io,
+              sockets,
+              metrics,
+              services_,
+              options_,
+              signer_,
+              admitter_,
+              trail_),
       places_(services_, options_, sender_),
       keyed_(services_,
              sender_,
@@ -77,10 +88,12 @@
         .Get("redwing_refused_total", "Requests refused, in requests",
              {{"error", ErrcName(context.error().errc)}})
         .Add();
-    spdlog::info("event=request_refused request={} outcome={} reason={}",
-                 Quoted(exchange.Header(options_.dialect.request_id)),
-                 ErrcName(context.error().errc),
-                 Quoted(context.error().detail));
+    const std::string_view id = exchange.Header(options_.dialect.request_id);
+    LogDecision(
+        trail_, id,
+        fmt::format("event=request_refused request={} outcome={} reason={}",
+                    Quoted(id), ErrcName(context.error().errc),
+                    Quoted(context.error().detail)));
     SendRefusal(exchange, context.error(), yield);
     return;
   }
@@ -97,6 +110,11 @@
   return keyed_.epoch();
 }
 
+std::vector<RequestDecision> RequestCarrier::DecisionsOn(
+    std::string_view request_id) const {
+  return trail_.Find(request_id);
+}
+
 Result<void> RequestCarrier::CarryAdmitted(const RequestContext& context,
                                            HttpExchange& exchange,
                                            const Yield& yield) {
@@ -203,7 +221,7 @@
     // The line of the attempt says the same.
     return;
   }
-  spdlog::info(
+  std::string text = fmt::format(
       "event=request request={} outcome={} route={} service={} workspace={} "
       "from={} target={} expected_ms={} sent={} refusals={} took_ms={} "
       "left_ms={} document={} reason={}",
@@ -215,6 +233,7 @@
       delivery.refusals, context.age().count(), context.left().count(),
       context.document->revision(),
       Quoted(failure == nullptr ? "" : failure->detail));
+  LogDecision(trail_, context.request_id, std::move(text));
 }
 
 void RequestCarrier::CountOutcome(const RequestContext& context,
--- a/src/delivery/internal/request_carrier.h
+++ b/src/delivery/internal/request_carrier.h
@@ -12,6 +12,7 @@
 #include "delivery/internal/keyed_requests.h"
 #include "delivery/internal/place_sequence.h"
 #include "delivery/internal/request_admitter.h"
+#include "delivery/internal/request_trail.h"
 #include "delivery/internal/retry_budget.h"
 #include "delivery/internal/upstream_sender.h"
 #include "delivery/request_handler.h"
@@ -38,6 +39,8 @@
   void Carry(HttpExchange& exchange, const Yield& yield) override;
   void CarryByHost(HttpExchange& exchange, const Yield& yield) override;
   uint32_t key_epoch() const override;
+  std::vector<RequestDecision> DecisionsOn(
+      std::string_view request_id) const override;
 
  private:
   void CarryAddressed(HttpExchange& exchange,
@@ -60,6 +63,7 @@
   HopSigner signer_;
   DeliveryOptions options_;
   RequestAdmitter admitter_;
+  RequestTrail trail_;
   UpstreamSender sender_;
   PlaceSequence places_;
   KeyedRequests keyed_;
--- a/src/delivery/internal/upstream_sender.cc
+++ b/src/delivery/internal/upstream_sender.cc
@@ -7,6 +7,7 @@
 #include "budget/budgets.h"
 #include "delivery/delivery_options.h"
 #include "delivery/internal/carrier_services.h"
+#include "delivery/internal/decision_log.h"
 #include "delivery/internal/delivery.h"
 #include "delivery/internal/header_rules.h"
 #include "delivery/internal/link_estimate.h"
@@ -60,12 +61,14 @@
                                const CarrierServices& services,
                                const DeliveryOptions& options,
                                const HopSigner& signer,
-                               const RequestAdmitter& admitter)
+                               const RequestAdmitter& admitter,
+                               RequestTrail& trail)
     : metrics_(metrics),
       services_(services),
       options_(options),
       signer_(signer),
       admitter_(admitter),
+      trail_(trail),
       pool_(io, sockets, metrics, kIdlePerEndpoint),
       close_idle_(io, kCloseIdleInterval, [this]() {
         pool_.CloseIdle(Clock::now());
@@ -109,16 +112,18 @@
   const TimePoint begun = Clock::now();
   const Result<void> result = attempt.Run(delivery.body, delivery.exchange,
                                           delivery.cancellation, yield);
-  spdlog::info(
-      "event=attempt request={} number={} target={} outcome={} took_ms={} "
-      "key={} load={}",
-      context.request_id, delivery.sent, target.name,
-      result ? "answered" : ErrcName(result.error().errc),
-      std::chrono::duration_cast<Milliseconds>(Clock::now() - begun).count(),
-      Quoted(context.affinity_key),
-      attempt.load() ? fmt::format("{}+{}", attempt.load()->running,
-                                   attempt.load()->waiting)
-                     : "unknown");
+  LogDecision(
+      trail_, context.request_id,
+      fmt::format("event=attempt request={} number={} target={} outcome={} "
+                  "took_ms={} key={} load={}",
+                  context.request_id, delivery.sent, target.name,
+                  result ? "answered" : ErrcName(result.error().errc),
+                  std::chrono::duration_cast<Milliseconds>(Clock::now() - begun)
+                      .count(),
+                  Quoted(context.affinity_key),
+                  attempt.load() ? fmt::format("{}+{}", attempt.load()->running,
+                                               attempt.load()->waiting)
+                                 : "unknown"));
   if (attempt.load()) {
     lease.value().SetLoad(*attempt.load());
   }
--- a/src/delivery/internal/upstream_sender.h
+++ b/src/delivery/internal/upstream_sender.h
@@ -17,6 +17,7 @@
 
 class Metrics;
 class RequestAdmitter;
+class RequestTrail;
 class SocketRegistry;
 struct CarrierServices;
 struct Delivery;
@@ -34,7 +35,8 @@
                  const CarrierServices& services,
                  const DeliveryOptions& options,
                  const HopSigner& signer,
-                 const RequestAdmitter& admitter);
+                 const RequestAdmitter& admitter,
+                 RequestTrail& trail);
 
   void Start();
   void Stop();
@@ -71,6 +73,7 @@
   const DeliveryOptions& options_;
   const HopSigner& signer_;
   const RequestAdmitter& admitter_;
+  RequestTrail& trail_;
   ConnectionPool pool_;
   PeriodicTask close_idle_;
 };
--- /dev/null
+++ b/src/delivery/request_decision.h
@@ -0,0 +1,18 @@
+#ifndef REDWING_DELIVERY_REQUEST_DECISION_H_
+#define REDWING_DELIVERY_REQUEST_DECISION_H_
+
+#include <cstdint>
+#include <string>
+
+namespace redwing {
+
+// What an instance decided on a request, with the inputs.
+struct RequestDecision {
+  int64_t at_ms = 0;  // since 1970, by the instance's clock
+  std::string request_id;
+  std::string text;  // a line of the log: key=value pairs
+};
+
+}  // namespace redwing
+
+#endif  // REDWING_DELIVERY_REQUEST_DECISION_H_
--- a/src/delivery/request_handler.h
+++ b/src/delivery/request_handler.h
@@ -3,7 +3,9 @@
 
 #include <cstdint>
 #include <string_view>
+#include <vector>
 
+#include "delivery/request_decision.h"
 #include "framework/http/http_types.h"
 
 namespace redwing {
@@ -28,6 +30,11 @@
 
   // Epoch of the idempotency keys accepted now.
   virtual uint32_t key_epoch() const = 0;
+
+  // Returns the latest decisions on a request by this instance, oldest first;
+  // nothing once newer ones have taken their places.
+  virtual std::vector<RequestDecision> DecisionsOn(
+      std::string_view request_id) const = 0;
 };
 
 }  // namespace redwing
--- a/src/entry/internal/entry_handler.cc
+++ b/src/entry/internal/entry_handler.cc
@@ -83,6 +83,13 @@
   return list;
 }
 
+// Texts may hold bytes of callers that are no UTF-8.
+std::string DumpLossy(const json& value) {
+  constexpr int kNoIndent = -1;
+  return value.dump(kNoIndent, ' ', /*ensure_ascii=*/false,
+                    json::error_handler_t::replace);
+}
+
 json WithdrawalJson(const std::string& id, const WithdrawalStatus& status) {
   return {{"key_id", id},
           {"in_force", status.in_force()},
@@ -140,6 +147,7 @@
       {"/metrics", &EntryHandler::ShowMetrics, false},
       {"/internal/v1/status", &EntryHandler::Status, true},
       {"/internal/v1/withdraw", &EntryHandler::Withdraw, true},
+      {"/internal/v1/decisions", &EntryHandler::Decisions, true},
   };
   return endpoints;
 }
@@ -280,6 +288,27 @@
   exchange.Respond(200, kJson, WithdrawalJson(*id, status).dump(), yield);
 }
 
+void EntryHandler::Decisions(HttpExchange& exchange,
+                             const Url& url,
+                             const Yield& yield) {
+  const std::optional<std::string> id = url.Query("request");
+  if (!id) {
+    SendRefusal(
+        exchange,
+        NotRun(Errc::kMalformedRequest, "the parameter \"request\" is missing"),
+        yield);
+    return;
+  }
+  json decisions = json::array();
+  for (const RequestDecision& decision : services_.requests->DecisionsOn(*id)) {
+    decisions.push_back({{"at_ms", decision.at_ms}, {"text", decision.text}});
+  }
+  const json answer = {{"instance", services_.identity->name},
+                       {"region", services_.identity->region},
+                       {"decisions", std::move(decisions)}};
+  exchange.Respond(200, kJson, DumpLossy(answer), yield);
+}
+
 bool EntryHandler::Authorized(const HttpExchange& exchange) const {
   return VerifyInternalCall(secrets_, exchange.method(), exchange.target(),
                             exchange.Header(kInternalCallField));
--- a/src/entry/internal/entry_handler.h
+++ b/src/entry/internal/entry_handler.h
@@ -70,6 +70,8 @@
   void ShowMetrics(HttpExchange& exchange, const Url& url, const Yield& yield);
   void Status(HttpExchange& exchange, const Url& url, const Yield& yield);
   void Withdraw(HttpExchange& exchange, const Url& url, const Yield& yield);
+  // Lists what this instance decided on a request.
+  void Decisions(HttpExchange& exchange, const Url& url, const Yield& yield);
 
   bool Authorized(const HttpExchange& exchange) const;
 
--- a/testing/integration/config_test_fleet.cc
+++ b/testing/integration/config_test_fleet.cc
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <map>
 #include <random>
+#include <set>
 #include <thread>
 
 #include "framework/settings/endpoint.h"
@@ -405,5 +406,71 @@
       Milliseconds(5000)));
 }
 
+// Sends a request to an entry of the first region. Returns the status.
+unsigned SendNamed(Fleet& fleet,
+                   const std::string& key,
+                   const std::string& id) {
+  HttpCall call;
+  call.endpoint = TcpEndpoint(fleet.entries().front().http_listen);
+  call.target = "/v1/services/svc/x";
+  call.headers = {{"Authorization", "Bearer " + key}, {"X-Request-Id", id}};
+  return CallSync(call).value().status;
+}
+
+TEST_CASE("an operator asks why a request was decided so") {
+  Fleet fleet(SmallPlan(2, 2, kRate, kBurst));
+  fleet.Start();
+  const std::string key = fleet.IssueKey("alpha");
+  // Without targets of its own, region 1 forwards all that it gets.
+  for (const auto& [name, address] : fleet.target_addresses()) {
+    if (fleet.TargetDocument(name).at("region") == "r1") {
+      CallJson(http::verb::post, fleet.admin(), "/v1/drains",
+               {{"kind", "targets"}, {"name", name}, {"drained", true}},
+               fleet.root_key());
+    }
+  }
+  // The regions whose instances tell of a request, by what they say.
+  const auto regions_that_say = [&](const std::string& id,
+                                    const std::string& words) {
+    const json answer =
+        CallJson(http::verb::get, fleet.admin(), "/v1/decisions?request=" + id,
+                 nullptr, fleet.root_key());
+    CHECK(answer.at("instances").size() == fleet.entries().size());
+    std::set<std::string> regions;
+    for (const json& instance : answer.at("instances")) {
+      for (const json& decision : instance.at("decisions")) {
+        const std::string text = decision.at("text");
+        if (text.find(words) != std::string::npos) {
+          regions.insert(instance.at("region"));
+        }
+      }
+    }
+    return regions;
+  };
+  using Regions = std::set<std::string>;
+  int sent = 0;
+  REQUIRE(WaitUntil(
+      [&]() {
+        const std::string id = "served-" + std::to_string(++sent);
+        return SendNamed(fleet, key, id) == 200 &&
+               regions_that_say(id, "event=attempt") == Regions{"r2"};
+      },
+      Milliseconds(10'000)));
+  const std::string served = "served-" + std::to_string(sent);
+  CHECK(SendNamed(fleet, "rwk_none", "refused/1") == 401);
+  CHECK(regions_that_say(served, "event=request request=" + served) ==
+        Regions{"r1"});
+  CHECK(regions_that_say(served, "event=attempt request=" + served) ==
+        Regions{"r2"});
+  CHECK(regions_that_say("refused%2F1", "outcome=unknown_key") ==
+        Regions{"r1"});
+  CHECK(regions_that_say("never-sent", "event=").empty());
+  Process explain(
+      "redwing-ctl",
+      {"--admin", fleet.admin(), "--key", fleet.root_key(), "explain", served},
+      "/dev/null");
+  CHECK(explain.Wait(Milliseconds(10'000)) == 0);
+}
+
 }  // namespace
 }  // namespace redwing::testing
