--- a/testing/platform_stand_in/platform_stand_in.cc
+++ b/testing/platform_stand_in/platform_stand_in.cc
@@ -84,10 +84,12 @@
   done.get_future().wait();
 }
 
-void PlatformStandIn::List(size_t target, const std::string& state) {
+void PlatformStandIn::List(size_t target,
+                           const std::string& state,
+                           const std::string& service) {
   const int index = static_cast<int>(target);
   world_.store->Put("servers", world_.targets[target]->id(),
-                    {{"service", "svc"},
+                    {{"service", service},
                      {"address", target_addresses_[target]},
                      {"zone", ZoneName(index)},
                      {"version", "v1"},
@@ -190,7 +192,7 @@
 }
 
 void PlatformStandIn::StartInstance(int index) {
-  const std::string path = fmt::format("{}/node-{}.conf", folder_, index);
+  const std::string path = SettingsPath(index);
   std::ofstream(path) << SettingsOf(index);
   instances_[index] = std::make_unique<Process>(
       "redwing-steer",
@@ -198,6 +200,14 @@
       LogPath(index));
 }
 
+void PlatformStandIn::AddSettings(int index, const std::string& text) {
+  std::ofstream(SettingsPath(index), std::ios::app) << text;
+}
+
+std::string PlatformStandIn::SettingsPath(int index) const {
+  return fmt::format("{}/node-{}.conf", folder_, index);
+}
+
 std::string PlatformStandIn::LogPath(int index) const {
   return fmt::format("{}/node-{}.log", folder_, index);
 }
@@ -243,4 +253,24 @@
   return CallSync(call);
 }
 
+std::vector<Result<HttpReply>> PlatformStandIn::SendAtOnce(
+    int instances,
+    int requests,
+    const std::string& prefix) {
+  std::vector<std::future<Result<HttpReply>>> futures;
+  futures.reserve(requests);
+  for (int i = 0; i < requests; ++i) {
+    futures.push_back(
+        std::async(std::launch::async, [this, i, instances, &prefix]() {
+          return Send(i % instances, fmt::format("{}-{}", prefix, i));
+        }));
+  }
+  std::vector<Result<HttpReply>> replies;
+  replies.reserve(requests);
+  for (std::future<Result<HttpReply>>& future : futures) {
+    replies.push_back(future.get());
+  }
+  return replies;
+}
+
 }  // namespace redwing::testing
--- a/testing/platform_stand_in/platform_stand_in.h
+++ b/testing/platform_stand_in/platform_stand_in.h
@@ -34,7 +34,9 @@
   TargetStandIn& target(size_t index) { return *world_.targets[index]; }
   size_t target_count() const { return world_.targets.size(); }
   // Writes what a target says of itself.
-  void List(size_t target, const std::string& state);
+  void List(size_t target,
+            const std::string& state,
+            const std::string& service = "svc");
   // Sum of all targets' runs of a request.
   int RunsOf(const std::string& request_id);
   size_t RunCount();
@@ -44,6 +46,8 @@
   void PutManifest(const nlohmann::json& manifest);
 
   void StartInstance(int index);
+  // Adds lines to the settings file of an instance, or what is none.
+  void AddSettings(int index, const std::string& text);
   Process& instance(int index) { return *instances_.at(index); }
   // What an instance has logged so far.
   std::string LogOf(int index) const;
@@ -59,10 +63,15 @@
                          http::verb method = http::verb::get,
                          const std::string& path = "/safe/1",
                          const std::string& key = "key-one");
+  // Sends requests on threads of their own, at once.
+  std::vector<Result<HttpReply>> SendAtOnce(int instances,
+                                            int requests,
+                                            const std::string& prefix);
 
  private:
   std::string Ip(int host) const;
   std::string SettingsOf(int index) const;
+  std::string SettingsPath(int index) const;
   std::string LogPath(int index) const;
 
   // The store and the targets with their event loop. Never destroyed:
