An owner tells its budget's holder no demand that is long past

An owner that serves itself from its own share kept count of all it was asked for and told it when it first needed its holder: 30 s of requests as one burst. The holder's demand rose from 8 to 334 a second, and it borrowed the whole budget from all others for 2 s. Ruled out: shares that are not returned (they were, after half a lease), tokens lost on the way (own, lent and borrowed shares added up to one). Change: what is told is at most what the owner's own meter counts as recent.

--- a/src/budget/demand_meter.h
+++ b/src/budget/demand_meter.h
@@ -18,6 +18,8 @@
   double pending() const { return pending_; }
   // Units a second.
   double rate() const { return rate_; }
+  // What was asked for within the time over which the rate is smoothed, about.
+  double recent() const;
 
  private:
   double pending_ = 0;
--- a/src/budget/internal/budget_account.h
+++ b/src/budget/internal/budget_account.h
@@ -69,6 +69,9 @@
 
   // Takes a request for tokens into the demand.
   void NoteDemand(double amount, TimePoint now);
+  // Returns the demand to tell the holder of, once: none that is long past and
+  // was served from here, which would look like a burst of now.
+  double TakeUntoldDemand();
   // Returns whether the tokens are there and nobody has waited for them.
   bool CanSpend(double amount, TimePoint now);
   // What may be spent now.
--- a/src/budget/internal/demand_meter.cc
+++ b/src/budget/internal/demand_meter.cc
@@ -10,6 +10,10 @@
 constexpr double kMaxGapSeconds = 10;
 }  // namespace
 
+double DemandMeter::recent() const {
+  return rate_ * kSmoothingSeconds + pending_;
+}
+
 void DemandMeter::Update(TimePoint now) {
   if (updated_at_ == TimePoint()) {
     updated_at_ = now;
--- a/src/budget/internal/token_exchange.cc
+++ b/src/budget/internal/token_exchange.cc
@@ -99,10 +99,9 @@
       name,
       missing,
       account.largest_amount,
-      account.untold_demand,
+      account.TakeUntoldDemand(),
       account.drawn.TakeSpent(holder->name),
   };
-  account.untold_demand = 0;
   open_requests_[request.request_id] = {name, holder->name, missing, now};
   metrics_
       .Get("redwing_token_requests_total",
