Placing lists its targets once for each state of configuration and membership

Change: PlacementTargets lists the open, led targets of a service with their hashes, leaders and states, until configuration or membership changes; regions are judged once a request; scores mix two hashes; ChoosePlace finds each region's own target in one pass, without sorting.

--- a/src/framework/wire/digest.h
+++ b/src/framework/wire/digest.h
@@ -26,6 +26,8 @@
 
 // Computes the XXH3 hash of a text; not for authentication.
 uint64_t Hash64(std::string_view text);
+// Computes the XXH3 hash of two hashes.
+uint64_t HashOfTwo(uint64_t first, uint64_t second);
 
 }  // namespace redwing
 
--- a/src/framework/wire/internal/digest.cc
+++ b/src/framework/wire/internal/digest.cc
@@ -47,4 +47,9 @@
   return XXH3_64bits(text.data(), text.size());
 }
 
+uint64_t HashOfTwo(uint64_t first, uint64_t second) {
+  const std::array<uint64_t, 2> both = {first, second};
+  return XXH3_64bits(both.data(), sizeof(both));
+}
+
 }  // namespace redwing
--- a/src/routing/internal/led_placement.cc
+++ b/src/routing/internal/led_placement.cc
@@ -48,12 +48,13 @@
       membership_(membership),
       config_(std::move(config)),
       router_(std::move(router)),
-      leaders_(std::move(identity), std::move(membership)),
-      region_numbers_({{identity_->region, kNearRegion}}),
+      targets_(std::move(identity), std::move(membership), config_, router_),
       shift_(max_shift) {
   membership_->AddBeatSource([this](Heartbeat& heartbeat) {
     router_->ReportTargets(
-        [this](const Target& target) { return leaders_.IsOwn(target); },
+        [this](const Target& target) {
+          return targets_.leaders().IsOwn(target);
+        },
         &heartbeat);
     ReportPlaced(&heartbeat);
   });
@@ -70,84 +71,87 @@
 }
 
 Result<Place> LedPlacement::FindPlace(const PlaceRequest& request) {
-  const std::shared_ptr<const SteeringDocument> document = config_->document();
-  const Service* const service = document->FindService(request.service);
-  if (service == nullptr) {
+  const std::vector<PlacementTarget>* const targets =
+      targets_.Of(request.service);
+  if (targets == nullptr) {
     return NotRun(Errc::kNoTarget, "the service does not exist",
                   kNoTargetRetry);
   }
-  std::vector<PlaceCandidate> candidates;
-  std::vector<const Target*> targets;
-  ListCandidates(request, *service, &candidates, &targets);
-  if (candidates.empty()) {
+  ListCandidates(request, *targets);
+  if (candidates_.empty()) {
     return NotRun(Errc::kNoTarget, "no target takes work", kNoTargetRetry);
   }
-  const std::optional<size_t> best = Choose(request, &candidates);
+  const std::optional<size_t> best = Choose(request);
   if (!best) {
     return NotRun(Errc::kQueueFull, "no target has a slot in time",
-                  ShortestWait(candidates));
+                  ShortestWait(candidates_));
   }
-  const Target& target = *targets[*best];
-  const std::string& leader = leaders_.LeaderOf(target);
-  visited_[target.name].Add(Hash64(request.affinity_key));
+  const PlacementTarget& chosen = *candidate_targets_[*best];
+  const Target& target = *chosen.target;
+  visited_[chosen.hash].Add(Hash64(request.affinity_key));
   return Place{request.service,
                target.name,
                target.region,
-               leader == identity_->name ? "" : leader,
+               chosen.leader == identity_->name ? "" : chosen.leader,
                target.slots,
-               Milliseconds(static_cast<int64_t>(candidates[*best].expected))};
+               Milliseconds(static_cast<int64_t>(candidates_[*best].expected))};
 }
 
 void LedPlacement::ListCandidates(const PlaceRequest& request,
-                                  const Service& service,
-                                  std::vector<PlaceCandidate>* candidates,
-                                  std::vector<const Target*>* targets) {
+                                  const std::vector<PlacementTarget>& targets) {
+  constexpr double kBarred = -1;
+  const TimePoint now = Clock::now();
   const uint64_t key_hash = Hash64(request.affinity_key);
-  slots_.assign(region_numbers_.size(), 0);
-  for (const Target& target : service.targets) {
-    if (router_->IsClosed(target) || !request.may_run_in(target.region)) {
-      continue;
+  slots_.assign(targets_.region_numbers().size(), 0);
+  travel_.assign(targets_.region_numbers().size(), kBarred);
+  for (const auto& [region, number] : targets_.region_numbers()) {
+    if (request.may_run_in(region)) {
+      travel_[number] = TravelTo(region);
     }
-    const std::string& leader = leaders_.LeaderOf(target);
+  }
+  candidates_.clear();
+  candidate_targets_.clear();
+  for (const PlacementTarget& target : targets) {
     PlaceCandidate candidate;
-    candidate.region = NumberOf(target.region);
-    candidate.score = Hash64(request.affinity_key + "/" + target.name);
-    const auto visited = visited_.find(target.name);
-    candidate.visited =
-        visited != visited_.end() && visited->second.Contains(key_hash);
-    if (leader.empty() || !Describe(target, leader, &candidate)) {
+    candidate.region = target.region;
+    candidate.travel = target.state == nullptr ? travel_[target.region] : 0;
+    if (travel_[target.region] == kBarred ||
+        !Describe(target, now, &candidate)) {
       continue;
     }
-    slots_[candidate.region] += target.slots;
-    if (request.tried_targets.count(target.name) > 0) {
+    slots_[candidate.region] += candidate.slots;
+    if (!request.tried_targets.empty() &&
+        request.tried_targets.count(target.target->name) > 0) {
       continue;
     }
-    candidates->push_back(candidate);
-    targets->push_back(&target);
+    candidate.score = HashOfTwo(key_hash, target.hash);
+    const auto visited = visited_.find(target.hash);
+    candidate.visited =
+        visited != visited_.end() && visited->second.Contains(key_hash);
+    candidates_.push_back(candidate);
+    candidate_targets_.push_back(&target);
   }
 }
 
-std::optional<size_t> LedPlacement::Choose(
-    const PlaceRequest& request,
-    std::vector<PlaceCandidate>* candidates) {
+std::optional<size_t> LedPlacement::Choose(const PlaceRequest& request) {
   const TimePoint now = Clock::now();
   const ShiftLimiter::Bounds bounds = shift_.BoundsAt(now);
   const bool bound = request.own_caller && !HasLostRoom(request, now);
-  for (PlaceCandidate& candidate : *candidates) {
+  for (PlaceCandidate& candidate : candidates_) {
     candidate.allowed = !bound || bounds.Allows(candidate.region);
   }
   const std::optional<size_t> best =
       ChoosePlace(router_->TimesOf(request.service),
-                  static_cast<double>(request.max_wait.count()), candidates);
+                  static_cast<double>(request.max_wait.count()), &candidates_);
   if (best && request.own_caller) {
-    CountPlaced((*candidates)[*best].region, 1, now);
+    CountPlaced(candidates_[*best].region, 1, now);
   }
   return best;
 }
 
 bool LedPlacement::HasLostRoom(const PlaceRequest& request, TimePoint now) {
   bool lost = false;
-  for (const auto& [region, number] : region_numbers_) {
+  for (const auto& [region, number] : targets_.region_numbers()) {
     // Where a request may not run, it takes nothing away.
     lost = (request.may_run_in(region) &&
             room_.HasFallen(request.service + "/" + region, slots_[number],
@@ -174,7 +178,7 @@
 }
 
 void LedPlacement::TakeBack(const Place& place) {
-  CountPlaced(region_numbers_.at(place.region), -1, Clock::now());
+  CountPlaced(targets_.region_numbers().at(place.region), -1, Clock::now());
 }
 
 void LedPlacement::CountPlaced(size_t region, int requests, TimePoint now) {
@@ -183,7 +187,7 @@
 }
 
 void LedPlacement::ReportPlaced(Heartbeat* heartbeat) const {
-  for (const auto& [region, number] : region_numbers_) {
+  for (const auto& [region, number] : targets_.region_numbers()) {
     const auto placed = placed_.find(number);
     if (placed != placed_.end()) {
       heartbeat->placed.push_back({HashOf(region), placed->second});
@@ -198,7 +202,7 @@
   }
   std::map<uint32_t, uint32_t>& known = placed_by_others_[member.process_id];
   const TimePoint now = Clock::now();
-  for (const auto& [region, number] : region_numbers_) {
+  for (const auto& [region, number] : targets_.region_numbers()) {
     const uint32_t hash = HashOf(region);
     const auto placed =
         std::find_if(heartbeat.placed.begin(), heartbeat.placed.end(),
@@ -218,12 +222,12 @@
 }
 
 void LedPlacement::BeginForward(const Place& place) {
-  ++forwarded_[place.target];
+  ++forwarded_[Hash64(place.target)];
 }
 
 void LedPlacement::EndForward(const Place& place,
                               std::optional<Milliseconds> round_trip) {
-  const auto count = forwarded_.find(place.target);
+  const auto count = forwarded_.find(Hash64(place.target));
   if (--count->second == 0) {
     forwarded_.erase(count);
   }
@@ -245,24 +249,26 @@
   }
 }
 
-bool LedPlacement::Describe(const Target& target,
-                            const std::string& leader,
+bool LedPlacement::Describe(const PlacementTarget& target,
+                            TimePoint now,
                             PlaceCandidate* candidate) const {
-  candidate->slots = target.slots;
-  candidate->travel = TravelTo(target.region, leader);
-  if (!IsUsable(target, leader)) {
-    return false;
-  }
+  candidate->slots = target.target->slots;
   double slowness = 1;
-  if (leader == identity_->name) {
-    const TargetState* const state = router_->FindTarget(target);
-    candidate->work = state->outstanding() + router_->WaitingFor(target.name);
-    slowness = state->slowness();
+  if (target.leader == identity_->name) {
+    if (target.state == nullptr || !target.state->Usable(now)) {
+      return false;
+    }
+    candidate->work =
+        target.state->outstanding() + router_->WaitingFor(target.target->name);
+    slowness = target.state->slowness();
   } else {
-    const Report* const report = ReportOf(target, leader);
+    const Report* const report = ReportOf(target, now);
+    if (report != nullptr && !report->usable) {
+      return false;
+    }
     candidate->work = report == nullptr ? 0 : report->work;
     slowness = report == nullptr ? 1 : report->slowness;
-    const auto own = forwarded_.find(target.name);
+    const auto own = forwarded_.find(target.hash);
     if (own != forwarded_.end()) {
       candidate->work = std::max<double>(candidate->work, own->second);
     }
@@ -272,39 +278,17 @@
   return true;
 }
 
-size_t LedPlacement::NumberOf(const std::string& region) {
-  const auto known = region_numbers_.emplace(region, region_numbers_.size());
-  if (known.second) {
-    slots_.push_back(0);
-  }
-  return known.first->second;
-}
-
-bool LedPlacement::IsUsable(const Target& target,
-                            const std::string& leader) const {
-  if (leader == identity_->name) {
-    const TargetState* const state = router_->FindTarget(target);
-    return state != nullptr && state->Usable(Clock::now());
-  }
-  const Report* const report = ReportOf(target, leader);
-  return !leader.empty() && (report == nullptr || report->usable);
-}
-
 const LedPlacement::Report* LedPlacement::ReportOf(
-    const Target& target,
-    const std::string& leader) const {
-  const auto report = reports_.find(HashOf(target.name));
+    const PlacementTarget& target,
+    TimePoint now) const {
+  const auto report = reports_.find(target.short_hash());
   const bool believed = report != reports_.end() &&
-                        report->second.leader == leader &&
-                        Clock::now() - report->second.at < kReportAge;
+                        report->second.leader == target.leader &&
+                        now - report->second.at < kReportAge;
   return believed ? &report->second : nullptr;
 }
 
-double LedPlacement::TravelTo(const std::string& region,
-                              const std::string& leader) const {
-  if (leader == identity_->name) {
-    return 0;
-  }
+double LedPlacement::TravelTo(const std::string& region) const {
   const auto measured = round_trips_.find(region);
   if (measured != round_trips_.end()) {
     return measured->second;
--- a/src/routing/internal/led_placement.h
+++ b/src/routing/internal/led_placement.h
@@ -5,9 +5,10 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
-#include "routing/internal/target_leaders.h"
+#include "routing/internal/placement_targets.h"
 #include "routing/place_choice.h"
 #include "routing/placement.h"
 #include "routing/recent_keys.h"
@@ -22,8 +23,6 @@
 struct Heartbeat;
 struct Identity;
 struct Member;
-struct Service;
-struct Target;
 
 // Placement over the targets of all regions, by what their leaders report with
 // heartbeats and what this instance has handed to them.
@@ -51,18 +50,13 @@
     TimePoint at;
   };
 
-  // Lists the targets that may run a request.
+  // Lists the targets that may run a request, and by them the candidates.
   void ListCandidates(const PlaceRequest& request,
-                      const Service& service,
-                      std::vector<PlaceCandidate>* candidates,
-                      std::vector<const Target*>* targets);
+                      const std::vector<PlacementTarget>& targets);
   // Chooses among candidates as far as the traffic may move.
-  std::optional<size_t> Choose(const PlaceRequest& request,
-                               std::vector<PlaceCandidate>* candidates);
+  std::optional<size_t> Choose(const PlaceRequest& request);
   // Returns whether a region has lost slots that a request could use lately.
   bool HasLostRoom(const PlaceRequest& request, TimePoint now);
-  // Numbers the regions in the order in which they are met.
-  size_t NumberOf(const std::string& region);
   void ApplyReports(const Member& member, const Heartbeat& heartbeat);
   // Adds what this instance has placed.
   void ReportPlaced(Heartbeat* heartbeat) const;
@@ -71,31 +65,34 @@
   // Counts requests that this instance has placed, or takes them back.
   void CountPlaced(size_t region, int requests, TimePoint now);
   // Fills what is known of a target's load; false when it takes no work.
-  bool Describe(const Target& target,
-                const std::string& leader,
+  bool Describe(const PlacementTarget& target,
+                TimePoint now,
                 PlaceCandidate* candidate) const;
-  // Returns whether a target takes work, as far as is known.
-  bool IsUsable(const Target& target, const std::string& leader) const;
   // What a target's leader says of it; null when that is old or unknown.
-  const Report* ReportOf(const Target& target, const std::string& leader) const;
-  double TravelTo(const std::string& region, const std::string& leader) const;
+  const Report* ReportOf(const PlacementTarget& target, TimePoint now) const;
+  // Time to the entries of a region and back, in milliseconds.
+  double TravelTo(const std::string& region) const;
 
   std::shared_ptr<Identity> identity_;
   std::shared_ptr<Membership> membership_;
   std::shared_ptr<SteeringConfig> config_;
   std::shared_ptr<LocalTargetRouter> router_;
-  TargetLeaders leaders_;
+  PlacementTargets targets_;
   // By hash of the target's name.
-  std::map<uint32_t, Report> reports_;
-  // Requests handed to other entries that have no answer yet, by target.
-  std::map<std::string, int> forwarded_;
-  // Keys sent from here, by target.
-  std::map<std::string, RecentKeys> visited_;
+  std::unordered_map<uint32_t, Report> reports_;
+  // Requests handed to other entries that have no answer yet, by hash of the
+  // target's name.
+  std::unordered_map<uint64_t, int> forwarded_;
+  // Keys sent from here, by hash of the target's name.
+  std::unordered_map<uint64_t, RecentKeys> visited_;
   // Smoothed round trip to the entries of a region, milliseconds.
   std::map<std::string, double> round_trips_;
-  std::map<std::string, size_t> region_numbers_;
-  // Slots that take work, by region, for the request that is being placed.
+  // Of the request that is being placed: slots that take work and time to get
+  // there, by region, its candidates and their targets.
   std::vector<int> slots_;
+  std::vector<double> travel_;
+  std::vector<PlaceCandidate> candidates_;
+  std::vector<const PlacementTarget*> candidate_targets_;
   ShiftLimiter shift_;
   // Requests placed by this instance, by number of the region.
   std::map<size_t, uint32_t> placed_;
--- a/src/routing/internal/place_choice.cc
+++ b/src/routing/internal/place_choice.cc
@@ -1,8 +1,7 @@
 #include "routing/place_choice.h"
 
 #include <algorithm>
-#include <numeric>
-#include <set>
+#include <cstdint>
 
 namespace redwing {
 
@@ -14,28 +13,40 @@
   return ahead <= 0 ? 0 : ahead / candidate.slots * run;
 }
 
+// Returns the candidate with the highest score of each region, by its number.
+std::vector<size_t> OwnTargets(const std::vector<PlaceCandidate>& candidates) {
+  constexpr size_t kNone = SIZE_MAX;
+  std::vector<size_t> own;
+  for (size_t i = 0; i < candidates.size(); ++i) {
+    const PlaceCandidate& candidate = candidates[i];
+    if (candidate.region >= own.size()) {
+      own.resize(candidate.region + 1, kNone);
+    }
+    size_t& best = own[candidate.region];
+    if (best == kNone || candidate.score > candidates[best].score) {
+      best = i;
+    }
+  }
+  return own;
+}
+
 }  // namespace
 
 std::optional<size_t> ChoosePlace(const ServiceTimes& times,
                                   double max_wait,
                                   std::vector<PlaceCandidate>* candidates) {
-  std::vector<size_t> order(candidates->size());
-  std::iota(order.begin(), order.end(), size_t{0});
-  std::sort(order.begin(), order.end(), [candidates](size_t a, size_t b) {
-    return (*candidates)[a].score > (*candidates)[b].score;
-  });
   // Where a request can run only in regions to which traffic may not move, it
   // has no other place.
   const bool bound = std::any_of(
       candidates->begin(), candidates->end(),
       [](const PlaceCandidate& candidate) { return candidate.allowed; });
-  std::set<size_t> regions_seen;
+  const std::vector<size_t> own_targets = OwnTargets(*candidates);
   std::optional<size_t> best;
   double best_cost = 0;
-  for (const size_t index : order) {
+  for (size_t index = 0; index < candidates->size(); ++index) {
     PlaceCandidate& candidate = (*candidates)[index];
     const bool is_near = candidate.region == kNearRegion;
-    const bool own = regions_seen.insert(candidate.region).second;
+    const bool own = own_targets[candidate.region] == index;
     const bool warm = (own && is_near) || candidate.visited;
     const double warm_run = times.warm_ms() * candidate.slowness;
     const double extra =
@@ -50,7 +61,10 @@
     if (!wanted || barred || candidate.wait > longest_wait) {
       continue;
     }
-    if (!best || cost < best_cost) {
+    const bool better =
+        !best || cost < best_cost ||
+        (cost == best_cost && candidate.score > (*candidates)[*best].score);
+    if (better) {
       best = index;
       best_cost = cost;
     }
