An instance whose processor is behind refuses callers' requests unread

Change: LagShedder measures by how much a timer of the event loop comes late and steers the part of callers' requests that are refused at once, before anything else is done for them, by the rule of PIE (RFC 8033) to a lag of 40 ms; they are told to come back after 200 to 400 ms. Hops from other entries are never shed. A single stall sheds nothing. Lines on these refusals, and on those of one budget, are bounded by kind. Ruled out: a limit on requests in work (does not follow the processor), shedding by service or workspace (must be read first, which is most of the cost).

--- a/src/budget/internal/budget_account.cc
+++ b/src/budget/internal/budget_account.cc
@@ -80,18 +80,27 @@
   }
   const Milliseconds retry_after =
       std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
+  LogRefusal(charge.budget, retry_after, now);
+  return NotRun(charge.when_full, "over the rate of " + charge.budget,
+                retry_after);
+}
+
+void BudgetAccount::LogRefusal(std::string_view budget,
+                               Milliseconds retry_after,
+                               TimePoint now) {
+  if (!refusal_lines.TryTake(now)) {
+    return;
+  }
   spdlog::info(
       "event=over_rate budget={} holder={} rate={:.1f} burst={:.1f} "
       "own_share={:.3f} lent={:.3f} borrowed={:.3f} tokens={:.2f} drawn={:.2f} "
       "handed_out={:.2f} demand={:.1f} waiting={:.1f} reserved={:.1f} "
       "remote={:.1f} retry_after_ms={}",
-      charge.budget, held_here, bucket.spec().rate, bucket.spec().burst,
+      budget, held_here, bucket.spec().rate, bucket.spec().burst,
       bucket.own_share(), bucket.lent_share(), bucket.borrowed_share(),
       bucket.held_tokens(), drawn.Amount(now), bucket.drawn_tokens(),
       demand.rate(), waiting_amount, reserved_amount, remote_backlog,
       retry_after.count());
-  return NotRun(charge.when_full, "over the rate of " + charge.budget,
-                retry_after);
 }
 
 double BudgetAccount::NeededRate() const {
--- a/src/budget/internal/budget_account.h
+++ b/src/budget/internal/budget_account.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "budget/charge.h"
 #include "budget/demand_meter.h"
@@ -13,12 +14,16 @@
 #include "budget/share_bucket.h"
 #include "framework/errors/failure.h"
 #include "framework/kernel/timer.h"
+#include "framework/log/line_limiter.h"
 
 namespace redwing {
 
 // Shortest time after which a refused request is told to come back.
 inline constexpr Milliseconds kMinRetryAfter{10};
 
+// Lines a second, and at once, on the refusals of one budget.
+inline constexpr double kRefusalLinesPerSecond = 10;
+
 // A request waiting for tokens.
 struct TokenWaiter {
   TokenWaiter(boost::asio::io_context& io, double wanted, bool is_pacing)
@@ -66,6 +71,8 @@
   TimePoint starved_since = TimePoint::max();
   double spent = 0;
   double refused = 0;
+  // Of the lines on refusals: their number tells the rest.
+  LineLimiter refusal_lines{kRefusalLinesPerSecond, kRefusalLinesPerSecond};
 
   // Takes a request for tokens into the demand.
   void NoteDemand(double amount, TimePoint now);
@@ -82,6 +89,10 @@
   void GrantWaiters(TimePoint now);
   // Counts a refusal and returns it, with the time to come back.
   Failure Refuse(const Charge& charge, TimePoint now);
+  // Logs the state in which a request is refused.
+  void LogRefusal(std::string_view budget,
+                  Milliseconds retry_after,
+                  TimePoint now);
   // Units a second that this instance needs to keep up with its demand.
   double NeededRate() const;
   // Returns whether the tokens held last for the demand of a while.
--- a/src/delivery/internal/request_carrier.cc
+++ b/src/delivery/internal/request_carrier.cc
@@ -20,6 +20,12 @@
 namespace {
 constexpr unsigned kFirstServerError = 500;
 constexpr size_t kMaxKeyedBody = 1024 * 1024;  // bytes
+constexpr Milliseconds kLagInterval{20};
+// A caller refused for want of processor time comes back after this to twice
+// this time.
+constexpr Milliseconds kShedRetryAfter{200};
+// Lines on such refusals, a second and at once: their number says enough.
+constexpr double kShedLinesPerSecond = 20;
 }  // namespace
 
 RequestCarrier::RequestCarrier(boost::asio::io_context& io,
@@ -54,13 +60,18 @@
                return Deliver(delivery, yield);
              }),
       retry_budget_(options_.retries),
+      shed_lines_(kShedLinesPerSecond, kShedLinesPerSecond),
+      lag_meter_(io, kLagInterval, [this]() { MeasureLag(); }),
       random_(std::random_device{}()) {}
 
 void RequestCarrier::Start() {
   sender_.Start();
+  lag_measured_at_ = Clock::now();
+  lag_meter_.Start();
 }
 
 void RequestCarrier::Stop() {
+  lag_meter_.Stop();
   sender_.Stop();
 }
 
@@ -80,6 +91,9 @@
 void RequestCarrier::CarryAddressed(HttpExchange& exchange,
                                     Addressing addressing,
                                     const Yield& yield) {
+  if (Shed(exchange, yield)) {
+    return;
+  }
   const double point = std::uniform_real_distribution<double>()(random_);
   const Result<RequestContext> context =
       admitter_.Admit(exchange, addressing, point);
@@ -106,6 +120,38 @@
   }
 }
 
+bool RequestCarrier::Shed(HttpExchange& exchange, const Yield& yield) {
+  const double part = shedder_.part();
+  std::uniform_real_distribution<double> uniform;
+  // What another entry hands over has cost it work already.
+  if (part <= 0 || !exchange.Header(kHopField).empty() ||
+      uniform(random_) >= part) {
+    return false;
+  }
+  metrics_
+      .Get("redwing_shed_total",
+           "Requests refused for want of processor time, in requests")
+      .Add();
+  if (shed_lines_.TryTake(Clock::now())) {
+    const std::string_view id = exchange.Header(options_.dialect.request_id);
+    LogDecision(trail_, id,
+                fmt::format("event=request_shed request={} part={:.2f}",
+                            Quoted(id), part));
+  }
+  const Milliseconds wait = std::chrono::duration_cast<Milliseconds>(
+      kShedRetryAfter * (1 + uniform(random_)));
+  SendRefusal(exchange,
+              NotRun(Errc::kQueueFull, "the instance is overloaded", wait),
+              yield);
+  return true;
+}
+
+void RequestCarrier::MeasureLag() {
+  const TimePoint now = Clock::now();
+  shedder_.NoteLag(now - lag_measured_at_ - kLagInterval, now);
+  lag_measured_at_ = now;
+}
+
 uint32_t RequestCarrier::key_epoch() const {
   return keyed_.epoch();
 }
--- a/src/delivery/internal/request_carrier.h
+++ b/src/delivery/internal/request_carrier.h
@@ -10,12 +10,15 @@
 #include "delivery/internal/carrier_services.h"
 #include "delivery/internal/hop_token.h"
 #include "delivery/internal/keyed_requests.h"
+#include "delivery/internal/lag_shedder.h"
 #include "delivery/internal/place_sequence.h"
 #include "delivery/internal/request_admitter.h"
 #include "delivery/internal/request_trail.h"
 #include "delivery/internal/retry_budget.h"
 #include "delivery/internal/upstream_sender.h"
 #include "delivery/request_handler.h"
+#include "framework/kernel/periodic_task.h"
+#include "framework/log/line_limiter.h"
 
 namespace redwing {
 
@@ -49,6 +52,10 @@
   Result<void> CarryAdmitted(const RequestContext& context,
                              HttpExchange& exchange,
                              const Yield& yield);
+  // Refuses a caller's request unread if the processor is behind. Returns
+  // whether it did.
+  bool Shed(HttpExchange& exchange, const Yield& yield);
+  void MeasureLag();
   // Tries places until one answers or no further try is allowed.
   Result<void> Deliver(Delivery& delivery, const Yield& yield);
   bool MayTryAgain(const Delivery& delivery, const Failure& failure);
@@ -68,6 +75,11 @@
   PlaceSequence places_;
   KeyedRequests keyed_;
   RetryBudget retry_budget_;
+  LagShedder shedder_;
+  // When the event loop's lag was measured.
+  TimePoint lag_measured_at_;
+  LineLimiter shed_lines_;
+  PeriodicTask lag_meter_;
   std::mt19937_64 random_;
 };
 
