A cold key waits in another region only if its own has no target for it

Change: a cold key goes to its own target in another region only where a slot is free, as it does to other targets of its own region; it waits there only for a target it has visited, or where its region has no target for it.

--- a/src/routing/internal/place_choice.cc
+++ b/src/routing/internal/place_choice.cc
@@ -40,6 +40,10 @@
   const bool bound = std::any_of(
       candidates->begin(), candidates->end(),
       [](const PlaceCandidate& candidate) { return candidate.allowed; });
+  const bool has_near = std::any_of(candidates->begin(), candidates->end(),
+                                    [](const PlaceCandidate& candidate) {
+                                      return candidate.region == kNearRegion;
+                                    });
   const std::vector<size_t> own_targets = OwnTargets(*candidates);
   std::optional<size_t> best;
   double best_cost = 0;
@@ -54,7 +58,8 @@
     candidate.wait = WaitAt(candidate, warm_run);
     candidate.expected = candidate.travel + candidate.wait + warm_run + extra;
     const double cost = candidate.expected + (kColdWeight - 1) * extra;
-    const bool wanted = own || (is_near && candidate.wait <= 0);
+    const bool free = candidate.wait <= 0;
+    const bool wanted = own ? warm || free || !has_near : is_near && free;
     // The way there takes its time as well.
     const double longest_wait = std::max(0.0, max_wait - candidate.travel);
     const bool barred = bound && !candidate.allowed;
--- a/src/routing/place_choice.h
+++ b/src/routing/place_choice.h
@@ -42,9 +42,11 @@
 inline constexpr double kColdWeight = 2;
 
 // A key has one own target in each region: the one with the highest score. It
-// goes to another target of the entry's region only where a slot is free, and
-// to no other one elsewhere: under load, keys that wander turn targets cold and
-// cost more slots than they find.
+// waits for the one of the entry's region, and for one elsewhere that it has
+// visited, or if the entry's region has no target for it; it goes cold to the
+// own target of another region, or to another target of the entry's, only where
+// a slot is free: under load, keys that wander turn targets cold and cost more
+// slots than they find.
 //
 // Returns the index of the candidate whose answer is expected first, of those
 // that are allowed and have a slot within `max_wait` milliseconds; of equal
--- a/src/routing/tests/place_choice_test.cc
+++ b/src/routing/tests/place_choice_test.cc
@@ -58,6 +58,17 @@
   CHECK_FALSE(ChoosePlace(Times(200, 640), 100, &candidates));
 }
 
+TEST_CASE("a key waits in another region only for a warm target") {
+  std::vector<PlaceCandidate> candidates = {Near(9, 30), Far(8, 3, 10)};
+  // Its own target here is full for longer than it may wait.
+  CHECK_FALSE(ChoosePlace(Times(200, 640), 300, &candidates));
+  candidates[1].visited = true;
+  CHECK(ChoosePlace(Times(200, 640), 300, &candidates) == 1);
+  candidates[1].visited = false;
+  candidates[1].work = 2;
+  CHECK(ChoosePlace(Times(200, 640), 300, &candidates) == 1);
+}
+
 TEST_CASE("the way to another region counts against the wait") {
   std::vector<PlaceCandidate> candidates = {Far(9, 3, 110)};
   CHECK(ChoosePlace(Times(200, 640), 200, &candidates) == 0);
