An instance logs and measures how long it stays behind its peers' state

Cause: the record of the reported CONFIG incident cannot tell its hypotheses apart. Lines on section_in_force say when a change arrived, not since when the instance could have known of it, and nothing says whether its event loop was late. Change: StateLag measures from hearing of a newer state to holding it: a histogram, a line for each second behind (state_behind, with pulls made and failed) and one at the end. The event loop's lag is a histogram as well. A late reader leaves no such line; a late pull does, with its failures; a late event loop shows in redwing_loop_lag_ms.

--- a/src/config/internal/peer_sync.cc
+++ b/src/config/internal/peer_sync.cc
@@ -56,8 +56,10 @@
       [this](const std::string& name, const Heartbeat& heartbeat) {
         return StateEquals(name, heartbeat);
       });
-  state_->on_applied().Subscribe(
-      [this](const StateEntry& /*entry*/) { ScheduleBeat(); });
+  state_->on_applied().Subscribe([this](const StateEntry& /*entry*/) {
+    NoteHeld();
+    ScheduleBeat();
+  });
   transport_->OnCall(MessageKind::kStatePull, [this](const Envelope& envelope) {
     return AnswerPull(envelope);
   });
@@ -118,6 +120,7 @@
 
 bool PeerSync::StateEquals(const std::string& name,
                            const Heartbeat& heartbeat) {
+  NoteTold(name, heartbeat);
   if (heartbeat.state_digest == state_->digest() &&
       heartbeat.withdrawn_hash == keys_->withdrawn_hash()) {
     return true;
@@ -143,18 +146,51 @@
   return false;
 }
 
+void PeerSync::NoteTold(const std::string& name, const Heartbeat& heartbeat) {
+  const std::optional<Milliseconds> lag =
+      lag_.NoteTold(heartbeat.state_sum, state_->revision_sum(), Clock::now());
+  if (lag) {
+    spdlog::info(
+        "event=state_behind for_ms={} member={} told={} held={} pulls={} "
+        "failed={}",
+        lag->count(), name, heartbeat.state_sum, state_->revision_sum(),
+        pulls_while_behind_, failed_while_behind_);
+  }
+}
+
+void PeerSync::NoteHeld() {
+  const std::optional<Milliseconds> lag =
+      lag_.NoteHeld(state_->revision_sum(), Clock::now());
+  if (!lag) {
+    return;
+  }
+  metrics_
+      .Durations("redwing_state_behind_ms",
+                 "From hearing of a newer state to holding it, in milliseconds")
+      .Record(*lag);
+  if (*lag >= StateLag::kNoticed) {
+    spdlog::info("event=state_caught_up after_ms={} held={} pulls={} failed={}",
+                 lag->count(), state_->revision_sum(), pulls_while_behind_,
+                 failed_while_behind_);
+  }
+  pulls_while_behind_ = 0;
+  failed_while_behind_ = 0;
+}
+
 bool PeerSync::Pull(const std::string& name, const Yield& yield) {
   const Member* const member = membership_->Find(name);
   if (member == nullptr) {
     return false;
   }
   const TimePoint begun = Clock::now();
+  ++pulls_while_behind_;
   metrics_.Get("redwing_state_pulls_total", "State pulls from peers, in calls")
       .Add();
   const Result<std::string> bytes = transport_->Call(
       TcpEndpoint(member->peer_address), MessageKind::kStatePull,
       EncodePayload(StatePull{state_->Revisions()}), kPullTimeout, yield);
   if (!bytes) {
+    ++failed_while_behind_;
     spdlog::info("event=pull_failed member={} reason={}", name,
                  Quoted(bytes.error().detail));
     return false;
--- a/src/config/internal/peer_sync.h
+++ b/src/config/internal/peer_sync.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "config/internal/pull_limiter.h"
+#include "config/internal/state_lag.h"
 #include "config/state_entry.h"
 #include "config/withdrawals.h"
 #include "framework/http/http_types.h"
@@ -52,6 +53,9 @@
   };
 
   bool StateEquals(const std::string& name, const Heartbeat& heartbeat);
+  // Logs and measures how long this instance stays behind its peers.
+  void NoteTold(const std::string& name, const Heartbeat& heartbeat);
+  void NoteHeld();
   // Returns whether the peer has answered.
   bool Pull(const std::string& name, const Yield& yield);
   std::string AnswerPull(const Envelope& envelope);
@@ -69,6 +73,10 @@
   std::shared_ptr<PeerTransport> transport_;
   std::shared_ptr<Membership> membership_;
   PullLimiter pulls_;
+  StateLag lag_;
+  // Since the state was last level with the newest that peers had told.
+  int pulls_while_behind_ = 0;
+  int failed_while_behind_ = 0;
   std::map<std::string, Push> pushes_;
   bool beat_scheduled_ = false;
   PeriodicTask push_task_;
--- a/src/delivery/internal/request_carrier.cc
+++ b/src/delivery/internal/request_carrier.cc
@@ -148,7 +148,13 @@
 
 void RequestCarrier::MeasureLag() {
   const TimePoint now = Clock::now();
-  shedder_.NoteLag(now - lag_measured_at_ - kLagInterval, now);
+  const Clock::duration lag = now - lag_measured_at_ - kLagInterval;
+  shedder_.NoteLag(lag, now);
+  metrics_
+      .Durations("redwing_loop_lag_ms",
+                 "By how much timers of the event loop come late, in "
+                 "milliseconds")
+      .Record(std::chrono::duration_cast<Milliseconds>(lag));
   lag_measured_at_ = now;
 }
 
