--- a/testing/platform_stand_in/store_stand_in.cc
+++ b/testing/platform_stand_in/store_stand_in.cc
@@ -16,6 +16,8 @@
 
 constexpr std::string_view kRoot = "/objects/";
 constexpr Milliseconds kWatchPoll{5};
+// Longer than anybody waits for an answer.
+constexpr Milliseconds kSilence{60'000};
 constexpr size_t kChangesKept = 1000;
 
 uint64_t Number(const std::string& text) {
@@ -108,8 +110,14 @@
                          Milliseconds limit,
                          const Yield& yield) {
   const TimePoint end = Clock::now() + limit;
+  const int silenced = silenced_;
   json events = json::array();
   while (events.empty() && Clock::now() < end) {
+    if (silenced != silenced_) {
+      SleepFor(io_, kSilence, yield);
+      exchange.Break();
+      return;
+    }
     for (const Change& change : changes_) {
       if (change.revision > after && change.kind == kind) {
         events.push_back(change.event);
--- a/testing/platform_stand_in/store_stand_in.h
+++ b/testing/platform_stand_in/store_stand_in.h
@@ -35,6 +35,9 @@
 
   // While down, each call is answered 503.
   void SetDown(bool down) { down_ = down; }
+  // Waits for changes that are open now are never answered, though their
+  // connections stay open; new calls are served.
+  void SilenceOpenWatches() { ++silenced_; }
 
  private:
   struct Object {
@@ -75,6 +78,8 @@
   std::deque<Change> changes_;
   uint64_t revision_ = 1;
   bool down_ = false;
+  // How often open waits were silenced.
+  int silenced_ = 0;
 };
 
 }  // namespace redwing::testing
