The first reader of a region ends each wait for changes within two seconds

What callers saw: 401 or 404 by a key or route that had been issued and acked seconds before. Cause: readers wait 10 s for changes of a kind, on a connection that may fall silent without a reset; the call ends after 11 s. Their own readings, the peers' digests and the list of targets, read every 0.7 s, say nothing of the configuration, so nobody knows of the change until one of the waits ends. All waits begin together, at the last change, and so end together. Class: a belief rests on a silent connection for longer than the bound it must keep. In the record front-new-bedford-6 is the second reader of its region by rendezvous order, and both late changes are the last of a quick series, after which waits begin anew. Ruled out for this code: load alone (the test's other case passed before). Change: the first reader of each region waits 2 s at a time, the others 10 s as before; with the margin of the call a change is read within 3 s of the silence. Calls of the store: 3 kinds each 2 s instead of 10 s for one reader a region, some 3.6 a second more at three regions. Why it works: a new wait is a new connection; the change's revision is above the one waited from. Ruled out: TCP keep-alive (a stand-in on one machine cannot show it), shorter waits at all readers (twice the calls), polls that may be stale (the change may be seconds old in them).

--- a/src/config/config_options.h
+++ b/src/config/config_options.h
@@ -27,7 +27,11 @@
   StateOrigin origin = StateOrigin::kStateObjects;
   // How often a watcher reads the list of targets. Only for kStateSource.
   Milliseconds listing_interval{700};
-  // How long one wait for a change lasts. Only for kStateSource.
+  // How long one wait for a change lasts at the first watcher of a region. A
+  // connection that has fallen silent hides changes for as long. Only for
+  // kStateSource.
+  Milliseconds first_change_wait{2'000};
+  // The same at the other watchers. Each wait is a call that is paid for.
   Milliseconds change_wait{10'000};
 };
 
--- a/src/config/internal/source_feed.cc
+++ b/src/config/internal/source_feed.cc
@@ -73,8 +73,11 @@
                              uint64_t version,
                              const Yield& yield) {
   while (!stopped_ && ReadsStore()) {
+    const Milliseconds limit = IsFirstWatcher(*identity_, *membership_)
+                                   ? options_.first_change_wait
+                                   : options_.change_wait;
     const Result<ChangeWait> waited =
-        source_->AwaitChange(kind, version, options_.change_wait, yield);
+        source_->AwaitChange(kind, version, limit, yield);
     if (!waited) {
       spdlog::info("event=watch_ended kind={} version={} reason={}", kind,
                    version, Quoted(waited.error().detail));
--- a/src/config/internal/watcher_election.cc
+++ b/src/config/internal/watcher_election.cc
@@ -16,9 +16,8 @@
   return Hash64(fmt::format("{}/{}", region, instance));
 }
 
-}  // namespace
-
-bool IsWatcher(const Identity& identity, const Membership& membership) {
+// Returns how many usable instances of the region come before this one.
+size_t RankOf(const Identity& identity, const Membership& membership) {
   const uint64_t own = RendezvousScore(identity.region, identity.name);
   const std::ptrdiff_t before = std::count_if(
       membership.members().begin(), membership.members().end(),
@@ -27,7 +26,17 @@
         return member.usable() && member.region == identity.region &&
                RendezvousScore(member.region, member.name) > own;
       });
-  return static_cast<size_t>(before) < kWatchersPerRegion;
+  return static_cast<size_t>(before);
+}
+
+}  // namespace
+
+bool IsWatcher(const Identity& identity, const Membership& membership) {
+  return RankOf(identity, membership) < kWatchersPerRegion;
+}
+
+bool IsFirstWatcher(const Identity& identity, const Membership& membership) {
+  return RankOf(identity, membership) == 0;
 }
 
 }  // namespace redwing
--- a/src/config/internal/watcher_election.h
+++ b/src/config/internal/watcher_election.h
@@ -15,6 +15,9 @@
 // region by rendezvous order, as far as it hears of the others.
 bool IsWatcher(const Identity& identity, const Membership& membership);
 
+// Returns whether this instance is the first of them.
+bool IsFirstWatcher(const Identity& identity, const Membership& membership);
+
 }  // namespace redwing
 
 #endif  // REDWING_CONFIG_INTERNAL_WATCHER_ELECTION_H_
