After a pause an instance asks before it acts on what it knew

Cause, read in the code: FreshnessPolicy::kServeOn answers 'fresh' always. Requests that arrived during the pause are read before the first heartbeat or pull. Change: PauseGuard sees a gap of over 2 s between signs of life, at the request itself or at a timer; then requests with a key are refused as not run until the store or a peer has answered something asked after the pause, for 2 s at the most: with nobody to ask the instance serves on, as the policy says. After a pause three members are asked at once.

--- a/src/config/config_module.h
+++ b/src/config/config_module.h
@@ -13,6 +13,7 @@
 class MajorityFreshness;
 class PeerSync;
 class ReplicatedState;
+class ServeOnFreshness;
 class SourceFeed;
 class StateFeed;
 class StoreWatcher;
@@ -40,7 +41,9 @@
   std::shared_ptr<SourceFeed> source_feed_;
   std::shared_ptr<StateFeed> feed_;
   std::shared_ptr<PeerSync> sync_;
+  // One of these two tells whether the state is fresh.
   std::shared_ptr<MajorityFreshness> freshness_;
+  std::shared_ptr<ServeOnFreshness> serve_on_;
 };
 
 }  // namespace redwing
--- a/src/config/internal/config_module.cc
+++ b/src/config/internal/config_module.cc
@@ -1,9 +1,9 @@
 #include "config/config_module.h"
 
-#include "config/internal/always_fresh.h"
 #include "config/internal/document_config.h"
 #include "config/internal/majority_freshness.h"
 #include "config/internal/peer_sync.h"
+#include "config/internal/serve_on_freshness.h"
 #include "config/internal/source_feed.h"
 #include "config/internal/store_watcher.h"
 #include "config/replicated_state.h"
@@ -42,7 +42,8 @@
   kernel.Register<SteeringConfig>(config_);
   kernel.Register<Withdrawals>(sync_);
   if (options_.freshness_policy == FreshnessPolicy::kServeOn) {
-    kernel.Register<Freshness>(std::make_shared<AlwaysFresh>());
+    serve_on_ = std::make_shared<ServeOnFreshness>(kernel.io(), feed_);
+    kernel.Register<Freshness>(serve_on_);
     return;
   }
   freshness_ =
@@ -58,6 +59,9 @@
   if (freshness_) {
     freshness_->Attach(membership);
   }
+  if (serve_on_) {
+    serve_on_->Attach(membership);
+  }
 }
 
 void ConfigModule::AttachFeed(Kernel& kernel) {
@@ -74,9 +78,15 @@
 void ConfigModule::Start() {
   feed_->Start();
   sync_->Start();
+  if (serve_on_) {
+    serve_on_->Start();
+  }
 }
 
 void ConfigModule::Stop() {
+  if (serve_on_) {
+    serve_on_->Stop();
+  }
   sync_->Stop();
   feed_->Stop();
 }
--- a/src/config/internal/peer_sync.cc
+++ b/src/config/internal/peer_sync.cc
@@ -13,6 +13,7 @@
 #include "framework/peer/peer_transport.h"
 #include "framework/settings/endpoint.h"
 #include "framework/wire/compression.h"
+#include "framework/wire/digest.h"
 #include "framework/wire/payload.h"
 #include "keys/key_ring.h"
 #include "membership/identity.h"
@@ -25,6 +26,8 @@
 constexpr Milliseconds kPushInterval{100};
 constexpr Milliseconds kPushFor{60'000};
 constexpr size_t kPerDatagram = 50;
+// One that answers is enough, and others may be gone by now.
+constexpr size_t kAskedAfterPause = 3;
 // A reply that is larger once it is decompressed is refused.
 constexpr size_t kMaxReplyBytes = 64 * 1024 * 1024;
 }  // namespace
@@ -60,6 +63,8 @@
     NoteHeld();
     ScheduleBeat();
   });
+  membership_->on_pause().Subscribe(
+      [this](const Milliseconds& /*pause*/) { PullAfterPause(); });
   transport_->OnCall(MessageKind::kStatePull, [this](const Envelope& envelope) {
     return AnswerPull(envelope);
   });
@@ -216,6 +221,27 @@
   return true;
 }
 
+void PeerSync::PullAfterPause() {
+  std::vector<std::string> near;
+  std::vector<std::string> far;
+  for (const auto& [name, member] : membership_->members()) {
+    if (member.state != MemberState::kUnknown) {
+      (member.region == identity_->region ? near : far).push_back(name);
+    }
+  }
+  if (!near.empty()) {
+    // Instances that wake together ask different members.
+    const std::ptrdiff_t first =
+        static_cast<std::ptrdiff_t>(Hash64(identity_->name) % near.size());
+    std::rotate(near.begin(), near.begin() + first, near.end());
+  }
+  near.insert(near.end(), far.begin(), far.end());
+  near.resize(std::min(near.size(), kAskedAfterPause));
+  for (const std::string& name : near) {
+    Spawn(io_, [this, name](const Yield& yield) { Pull(name, yield); });
+  }
+}
+
 std::string PeerSync::AnswerPull(const Envelope& envelope) {
   const Result<StatePull> pull = DecodePayload<StatePull>(envelope.payload);
   StateReply reply;
--- a/src/config/internal/peer_sync.h
+++ b/src/config/internal/peer_sync.h
@@ -58,6 +58,8 @@
   void NoteHeld();
   // Returns whether the peer has answered.
   bool Pull(const std::string& name, const Yield& yield);
+  // Asks a few members for what changed while the process stood still.
+  void PullAfterPause();
   std::string AnswerPull(const Envelope& envelope);
   void HandleWithdrawal(const Envelope& envelope);
   void HandleAck(const Envelope& envelope);
