--- a/src/delivery/header_dialect.h
+++ b/src/delivery/header_dialect.h
@@ -27,6 +27,9 @@
   std::string signature;
   // From targets: "running,waiting,slots". Empty: not reported.
   std::string load;
+  // From targets, in any answer: "1" says that the target leaves. Empty: not
+  // said.
+  std::string target_leaving = "X-Target-Leaving";
   // Targets echo the request id, so that a foreign answer is told by it.
   bool targets_echo_request_id = false;
   // An answer without a length ends with its connection; a reset is no end.
--- a/src/delivery/internal/header_rules.h
+++ b/src/delivery/internal/header_rules.h
@@ -16,6 +16,9 @@
 // answer that belongs to another request.
 inline constexpr std::string_view kAttemptField = "X-Redwing-Attempt";
 
+// Between entries: the start of a target that says in this answer that it
+// leaves, as TargetStart::Format() writes it.
+inline constexpr std::string_view kDepartedField = "X-Redwing-Departed";
 // Hash of the body of an answer between entries.
 inline constexpr std::string_view kBodyField = "X-Redwing-Body";
 
--- a/src/delivery/internal/place_sequence.cc
+++ b/src/delivery/internal/place_sequence.cc
@@ -84,7 +84,8 @@
                                   : TryLeader(delivery, place, yield);
   if (!result && IsRefusedBeforeSending(result.error().errc)) {
     ++delivery.refusals;
-    if (result.error().errc == Errc::kQueueFull) {
+    if (result.error().errc == Errc::kQueueFull ||
+        result.error().errc == Errc::kTargetBackoff) {
       services_.placement->NoteFull(place, result.error().retry_after);
     }
     if (wanted.own_caller) {
--- a/src/delivery/internal/request_carrier.cc
+++ b/src/delivery/internal/request_carrier.cc
@@ -79,7 +79,7 @@
   if (!exchange.Header(kHopField).empty()) {
     // By this the forwarding entry knows that an answer, or a refusal, is for
     // its own request.
-    exchange.EchoField(kAttemptField);
+    exchange.SetResponseField(kAttemptField, exchange.Header(kAttemptField));
   }
   CarryAddressed(exchange, Addressing::kByService, yield);
 }
@@ -237,15 +237,27 @@
   if (may_have_run && last.verdict == Verdict::kNotRun) {
     last.verdict = Verdict::kMayHaveRun;
   }
-  if (last.errc == Errc::kQueueFull && options_.led_targets &&
-      !delivery.context.forwarded()) {
-    last.retry_after =
-        RetryAfter(last.retry_after, delivery.context.deadline - Clock::now(),
-                   std::uniform_real_distribution<double>()(random_));
+  if (options_.led_targets && !delivery.context.forwarded()) {
+    last.retry_after = ReturnTime(delivery, last);
   }
   return last;
 }
 
+Milliseconds RequestCarrier::ReturnTime(const Delivery& delivery,
+                                        const Failure& failure) {
+  const double draw = std::uniform_real_distribution<double>()(random_);
+  switch (failure.errc) {
+    case Errc::kQueueFull:
+      return RetryAfter(failure.retry_after,
+                        delivery.context.deadline - Clock::now(), draw);
+    case Errc::kTargetBackoff:
+    case Errc::kTargetShed:
+      return SpreadReturn(failure.retry_after, draw);
+    default:
+      return failure.retry_after;
+  }
+}
+
 bool RequestCarrier::MayReplace(const Delivery& delivery) {
   return delivery.answer &&
          delivery.answer->header.result_int() >= kFirstServerError &&
--- a/src/delivery/internal/request_carrier.h
+++ b/src/delivery/internal/request_carrier.h
@@ -58,6 +58,8 @@
   void MeasureLag();
   // Tries places until one answers or no further try is allowed.
   Result<void> Deliver(Delivery& delivery, const Yield& yield);
+  // Returns when the caller of a request that failed is to come back.
+  Milliseconds ReturnTime(const Delivery& delivery, const Failure& failure);
   bool MayTryAgain(const Delivery& delivery, const Failure& failure);
   // Returns whether to ask again for an answer that is a server error.
   bool MayReplace(const Delivery& delivery);
--- a/src/delivery/internal/retry_rules.cc
+++ b/src/delivery/internal/retry_rules.cc
@@ -6,9 +6,9 @@
 namespace redwing {
 
 namespace {
-constexpr std::array<Errc, 5> kRefusedBeforeSending = {
-    Errc::kNoTarget, Errc::kQueueFull, Errc::kRegionFull, Errc::kLinkFull,
-    Errc::kPeerUnreachable};
+constexpr std::array<Errc, 6> kRefusedBeforeSending = {
+    Errc::kNoTarget,   Errc::kQueueFull, Errc::kTargetBackoff,
+    Errc::kRegionFull, Errc::kLinkFull,  Errc::kPeerUnreachable};
 constexpr std::array<Errc, 7> kWorthRetry = {
     Errc::kTargetShed,   Errc::kTargetMoved,   Errc::kTargetUnreachable,
     Errc::kTargetBroken, Errc::kTargetTimeout, Errc::kNotReady,
--- /dev/null
+++ b/src/delivery/internal/target_notice.cc
@@ -0,0 +1,32 @@
+#include "delivery/internal/target_notice.h"
+
+#include "delivery/header_dialect.h"
+#include "framework/http/retry_after.h"
+#include "framework/log/log.h"
+
+namespace redwing {
+
+namespace {
+constexpr std::string_view kYes = "1";
+}  // namespace
+
+TargetNotice TargetNotice::Read(const ResponseHeader& header,
+                                const HeaderDialect& dialect) {
+  TargetNotice notice;
+  notice.leaving = !dialect.target_leaving.empty() &&
+                   StdView(header[BeastView(dialect.target_leaving)]) == kYes;
+  if (header.result() != http::status::service_unavailable ||
+      header.count(http::field::retry_after) == 0) {
+    return notice;
+  }
+  const std::string_view text = StdView(header[http::field::retry_after]);
+  notice.backoff = ParseRetryAfter(text);
+  if (!notice.backoff) {
+    spdlog::warn("event=retry_after_refused request={} value={}",
+                 Quoted(StdView(header[BeastView(dialect.request_id)])),
+                 Quoted(text));
+  }
+  return notice;
+}
+
+}  // namespace redwing
--- a/src/delivery/internal/upstream_attempt.cc
+++ b/src/delivery/internal/upstream_attempt.cc
@@ -9,6 +9,7 @@
 #include "delivery/internal/header_rules.h"
 #include "delivery/internal/link_estimate.h"
 #include "delivery/internal/request_body.h"
+#include "delivery/internal/target_notice.h"
 #include "framework/http/content_digest.h"
 #include "framework/http/http_exchange.h"
 #include "framework/http/refusal.h"
@@ -27,6 +28,8 @@
 constexpr Milliseconds kBodyPause{10'000};
 constexpr Milliseconds kMaxBodyTime{600'000};
 constexpr unsigned kMisdirectedStatus = 421;
+// When a target that sheds load may have room again, if it does not say.
+constexpr Milliseconds kShedRetryAfter{1'000};
 }  // namespace
 
 Result<void> UpstreamAttempt::Run(RequestBody& body,
@@ -43,6 +46,11 @@
     pool_.Release(plan_.endpoint, connection_);
     return NotRun(Errc::kCallerGone, "caller is gone");
   }
+  if (plan_.may_send && !plan_.may_send()) {
+    pool_.Release(plan_.endpoint, connection_);
+    return NotRun(Errc::kTargetBackoff,
+                  "the target stopped taking requests meanwhile");
+  }
   const std::weak_ptr<HttpConnection> weak = connection_;
   cancellation.SetHandler([weak]() {
     const std::shared_ptr<HttpConnection> connection = weak.lock();
@@ -139,11 +147,23 @@
     return MayHaveRun(Errc::kTargetBroken,
                       "the answer belongs to another request");
   }
-  if (plan_.to_entry) {
-    return header.count(std::string(kVerdictField)) > 0
-               ? Result<void>(ReadRefusal(yield))
-               : boost::outcome_v2::success();
-  }
+  return plan_.to_entry ? ReadEntryHeader(yield) : ReadTargetHeader(yield);
+}
+
+Result<void> UpstreamAttempt::ReadEntryHeader(const Yield& yield) {
+  const ResponseHeader& header = connection_->response();
+  const std::optional<TargetStart> departed =
+      TargetStart::Parse(StdView(header[BeastView(kDepartedField)]));
+  if (departed && plan_.on_departure) {
+    plan_.on_departure(*departed);
+  }
+  return header.count(std::string(kVerdictField)) > 0
+             ? Result<void>(ReadRefusal(yield))
+             : boost::outcome_v2::success();
+}
+
+Result<void> UpstreamAttempt::ReadTargetHeader(const Yield& yield) {
+  const ResponseHeader& header = connection_->response();
   if (!dialect_.load.empty()) {
     load_ = TargetLoad::Parse(StdView(header[BeastView(dialect_.load)]));
   }
@@ -153,10 +173,14 @@
     SkipBody(yield);
     return NotRun(Errc::kTargetMoved, "another target has the address");
   }
+  const TargetNotice notice = TargetNotice::Read(header, dialect_);
+  if (plan_.on_notice) {
+    plan_.on_notice(notice);
+  }
   if (header.count(dialect_.not_run) > 0) {
     SkipBody(yield);
     return NotRun(Errc::kTargetShed, "the target sheds load",
-                  Milliseconds(1000));
+                  notice.backoff.value_or(kShedRetryAfter));
   }
   return CheckAnswer();
 }
--- a/src/delivery/internal/upstream_attempt.h
+++ b/src/delivery/internal/upstream_attempt.h
@@ -1,6 +1,7 @@
 #ifndef REDWING_DELIVERY_INTERNAL_UPSTREAM_ATTEMPT_H_
 #define REDWING_DELIVERY_INTERNAL_UPSTREAM_ATTEMPT_H_
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -13,6 +14,7 @@
 #include "framework/http/connection_pool.h"
 #include "framework/http/content_digest.h"
 #include "framework/http/http_types.h"
+#include "membership/target_start.h"
 #include "routing/target_load.h"
 
 namespace redwing {
@@ -22,6 +24,7 @@
 class HttpExchange;
 class Metrics;
 class RequestBody;
+struct TargetNotice;
 
 // One try at one upstream: a target or another entry.
 struct AttemptPlan {
@@ -46,6 +49,14 @@
   std::string request_id;
   // The request must not run twice.
   bool runs_once = false;
+  // Asked once a connection is there: returns whether the request may still be
+  // sent. None: it may.
+  std::function<bool()> may_send;
+  // Called with what a target's answer says of the target, before anything of
+  // the answer is handed on.
+  std::function<void(const TargetNotice&)> on_notice;
+  // The same for a departure of which another entry's answer tells.
+  std::function<void(const TargetStart&)> on_departure;
 };
 
 // Sends a request to an upstream and hands its answer on to the caller.
@@ -88,6 +99,9 @@
   Result<void> SendPiece(std::string_view piece, bool last, const Yield& yield);
   // Reads the answer's header and turns refusals into failures.
   Result<void> ReadHeader(const Yield& yield);
+  // The same for what another entry and what a target answers.
+  Result<void> ReadEntryHeader(const Yield& yield);
+  Result<void> ReadTargetHeader(const Yield& yield);
   Failure ReadRefusal(const Yield& yield);
   // Reads what is left of an answer that says that nothing was run.
   void SkipBody(const Yield& yield);
--- a/src/delivery/internal/upstream_sender.cc
+++ b/src/delivery/internal/upstream_sender.cc
@@ -14,11 +14,13 @@
 #include "delivery/internal/request_admitter.h"
 #include "delivery/internal/request_body.h"
 #include "delivery/internal/retry_rules.h"
+#include "delivery/internal/target_notice.h"
 #include "delivery/internal/wait_policy.h"
 #include "delivery/request_handler.h"
 #include "framework/http/http_exchange.h"
 #include "framework/log/log.h"
 #include "framework/settings/endpoint.h"
+#include "framework/wire/digest.h"
 #include "membership/identity.h"
 #include "membership/member.h"
 #include "routing/target_router.h"
@@ -107,6 +109,11 @@
     plan.header.set(BeastView(options_.dialect.target_instance), target.name);
   }
   plan.response_prepaid = ResponseEstimate(context);
+  const TargetState& state = lease.value().state();
+  plan.may_send = [&state]() { return state.TakesRequests(Clock::now()); };
+  plan.on_notice = [this, &delivery, &target](const TargetNotice& notice) {
+    ApplyNotice(delivery, target, notice);
+  };
   UpstreamAttempt attempt(pool_, *services_.budgets, metrics_, options_.dialect,
                           std::move(plan));
   const TimePoint begun = Clock::now();
@@ -124,6 +131,9 @@
                   attempt.load() ? fmt::format("{}+{}", attempt.load()->running,
                                                attempt.load()->waiting)
                                  : "unknown"));
+  if (!result && IsRefusedBeforeSending(result.error().errc)) {
+    --delivery.sent;
+  }
   if (attempt.load()) {
     lease.value().SetLoad(*attempt.load());
   }
@@ -162,6 +172,9 @@
   plan.header.set(BeastView(kHopField), signer_.Sign(token));
   plan.to_entry = true;
   plan.expects_echo = true;
+  plan.on_departure = [this, &delivery](const TargetStart& departed) {
+    ApplyDeparture(delivery, departed);
+  };
   UpstreamAttempt attempt(pool_, *services_.budgets, metrics_, options_.dialect,
                           std::move(plan));
   const Result<void> result = attempt.Run(delivery.body, delivery.exchange,
@@ -174,6 +187,35 @@
   return result;
 }
 
+void UpstreamSender::ApplyNotice(Delivery& delivery,
+                                 const Target& target,
+                                 const TargetNotice& notice) {
+  const RequestContext& context = delivery.context;
+  if (notice.leaving) {
+    const TargetStart start(target.name, target.started_at);
+    services_.router->NoteLeaving(start, target.name, context.request_id);
+    if (context.forwarded()) {
+      delivery.exchange.SetResponseField(kDepartedField, start.Format());
+    }
+  }
+  if (notice.backoff) {
+    services_.router->NoteBackoff(target, *notice.backoff, context.request_id);
+  }
+}
+
+void UpstreamSender::ApplyDeparture(Delivery& delivery,
+                                    const TargetStart& departed) {
+  const RequestContext& context = delivery.context;
+  const std::string& chosen = delivery.chosen_target;
+  services_.router->NoteLeaving(
+      departed,
+      Hash64(chosen) == departed.name_hash ? chosen : departed.Format(),
+      context.request_id);
+  if (context.forwarded()) {
+    delivery.exchange.SetResponseField(kDepartedField, departed.Format());
+  }
+}
+
 AttemptPlan UpstreamSender::PlanFor(const Delivery& delivery) const {
   const RequestContext& context = delivery.context;
   AttemptPlan plan;
--- a/src/delivery/internal/upstream_sender.h
+++ b/src/delivery/internal/upstream_sender.h
@@ -67,6 +67,12 @@
   static double ResponseEstimate(const RequestContext& context);
   HopToken TokenFor(const Delivery& delivery, const Member& member) const;
   AttemptPlan PlanFor(const Delivery& delivery) const;
+  // Passes on what a target has said of itself, to the router and to the entry
+  // that handed the request over.
+  void ApplyNotice(Delivery& delivery,
+                   const Target& target,
+                   const TargetNotice& notice);
+  void ApplyDeparture(Delivery& delivery, const TargetStart& departed);
 
   Metrics& metrics_;
   const CarrierServices& services_;
--- a/src/delivery/internal/wait_policy.cc
+++ b/src/delivery/internal/wait_policy.cc
@@ -13,6 +13,9 @@
 constexpr double kUsefulPart = 1.0 / 3;
 constexpr double kMillisPerSecond = 1000;
 constexpr Milliseconds kLeastRetryAfter{20};
+// Callers whose targets all take requests again at once return over this time,
+// or over as long as the targets took none where that is shorter.
+constexpr Milliseconds kLongestSpread{2'000};
 }  // namespace
 
 Milliseconds AllowedWait(const WaitRequest& request) {
@@ -38,4 +41,11 @@
       Milliseconds(static_cast<int64_t>(seconds * kMillisPerSecond)));
 }
 
+Milliseconds SpreadReturn(Milliseconds earliest, double draw) {
+  const double spread =
+      std::min(ToSeconds(earliest), ToSeconds(kLongestSpread));
+  return earliest +
+         Milliseconds(static_cast<int64_t>(draw * spread * kMillisPerSecond));
+}
+
 }  // namespace redwing
--- a/src/delivery/internal/wait_policy.h
+++ b/src/delivery/internal/wait_policy.h
@@ -32,6 +32,11 @@
 // `draw`: between 0 and 1.
 Milliseconds RetryAfter(Milliseconds wait, Clock::duration left, double draw);
 
+// Returns when a caller is to come back to targets that take no requests before
+// `earliest`, so that all those refused meanwhile do not come back at that
+// moment. `draw`: between 0 and 1.
+Milliseconds SpreadReturn(Milliseconds earliest, double draw);
+
 }  // namespace redwing
 
 #endif  // REDWING_DELIVERY_INTERNAL_WAIT_POLICY_H_
--- /dev/null
+++ b/src/delivery/tests/target_notice_test.cc
@@ -0,0 +1,51 @@
+#include "delivery/internal/target_notice.h"
+
+#include <catch2/catch.hpp>
+
+#include "delivery/header_dialect.h"
+
+namespace redwing {
+namespace {
+
+ResponseHeader Answer(unsigned status) {
+  ResponseHeader header;
+  header.result(status);
+  return header;
+}
+
+TEST_CASE("a target says in any answer that it leaves") {
+  const HeaderDialect dialect;
+  for (const unsigned status : {200, 404, 500, 503}) {
+    ResponseHeader header = Answer(status);
+    CHECK_FALSE(TargetNotice::Read(header, dialect).leaving);
+    header.set("X-Target-Leaving", "1");
+    CHECK(TargetNotice::Read(header, dialect).leaving);
+    header.set("X-Target-Leaving", "0");
+    CHECK_FALSE(TargetNotice::Read(header, dialect).leaving);
+  }
+}
+
+TEST_CASE("only a target that turns a request away asks for time") {
+  const HeaderDialect dialect;
+  ResponseHeader header = Answer(503);
+  CHECK_FALSE(TargetNotice::Read(header, dialect).backoff);
+  header.set(http::field::retry_after, "1.5");
+  CHECK(TargetNotice::Read(header, dialect).backoff == Milliseconds(1'500));
+  header.result(200);
+  CHECK_FALSE(TargetNotice::Read(header, dialect).backoff);
+}
+
+TEST_CASE("a time without sense is no time") {
+  const HeaderDialect dialect;
+  for (const char* const text :
+       {"", "-1", "-0.5", "nan", "inf", "soon", "1s", "1,5", "1e3", "0x10",
+        "Fri, 04 Dec 2026 12:00:00 GMT"}) {
+    CAPTURE(text);
+    ResponseHeader header = Answer(503);
+    header.set(http::field::retry_after, text);
+    CHECK_FALSE(TargetNotice::Read(header, dialect).backoff);
+  }
+}
+
+}  // namespace
+}  // namespace redwing
--- a/src/framework/errors/errc.h
+++ b/src/framework/errors/errc.h
@@ -25,6 +25,8 @@
   kLinkFull,
   kNoTarget,
   kTargetShed,
+  // The target has asked for no requests for a time.
+  kTargetBackoff,
   // The address belongs to another target by now.
   kTargetMoved,
   kTargetUnreachable,
--- a/src/framework/errors/internal/errc.cc
+++ b/src/framework/errors/internal/errc.cc
@@ -31,6 +31,7 @@
     ErrcRow{Errc::kLinkFull, "link_full", 503},
     ErrcRow{Errc::kNoTarget, "no_target", 503},
     ErrcRow{Errc::kTargetShed, "target_shed", 503},
+    ErrcRow{Errc::kTargetBackoff, "target_backoff", 503},
     ErrcRow{Errc::kTargetMoved, "target_moved", 503},
     ErrcRow{Errc::kTargetUnreachable, "target_unreachable", 502},
     ErrcRow{Errc::kTargetBroken, "target_broken", 502},
--- a/src/framework/http/http_exchange.h
+++ b/src/framework/http/http_exchange.h
@@ -69,8 +69,8 @@
   // Asks for the connection to be closed after this response.
   void CloseAfterwards() { keep_alive_ = false; }
 
-  // Copies a field of the request into the response.
-  void EchoField(std::string_view name) { echoed_field_ = name; }
+  // Sets a field of whatever response is sent.
+  void SetResponseField(std::string_view name, std::string_view value);
 
   // Calls `on_gone` when the caller closes its connection before the response
   // has begun.
@@ -103,7 +103,7 @@
   std::optional<Response> response_;
   std::optional<Serializer> serializer_;
   std::shared_ptr<Watch> watch_;
-  std::string echoed_field_;
+  http::fields response_fields_;
   bool continue_sent_ = false;
   bool response_begun_ = false;
   bool response_complete_ = false;
--- a/src/framework/http/internal/http_exchange.cc
+++ b/src/framework/http/internal/http_exchange.cc
@@ -122,6 +122,11 @@
   Respond(std::move(header), body, yield);
 }
 
+void HttpExchange::SetResponseField(std::string_view name,
+                                    std::string_view value) {
+  response_fields_.set(BeastView(name), BeastView(value));
+}
+
 void HttpExchange::BeginResponse(ResponseHeader header) {
   header.version(11);
   const bool has_length = header.count(http::field::content_length) > 0;
@@ -132,9 +137,8 @@
   keep_alive_ =
       keep_alive_ && parser_.is_done() && (has_length || chunked || bodiless);
   response_.emplace(std::move(header));
-  if (!echoed_field_.empty()) {
-    response_->set(BeastView(echoed_field_),
-                   request()[BeastView(echoed_field_)]);
+  for (const http::fields::value_type& field : response_fields_) {
+    response_->set(field.name_string(), field.value());
   }
   if (chunked) {
     response_->set(http::field::transfer_encoding, "chunked");
--- a/src/membership/heartbeat.h
+++ b/src/membership/heartbeat.h
@@ -5,6 +5,8 @@
 #include <string>
 #include <vector>
 
+#include "membership/target_start.h"
+
 namespace redwing {
 
 // What an instance knows of a target to which it sends requests.
@@ -17,10 +19,14 @@
   // Its times as a percentage of its service's.
   uint16_t slowness_percent = 100;
   bool usable = true;
+  // Time for which the target has asked the sender for no requests; zero when
+  // it takes them. Longer times are told as the longest that fits.
+  uint32_t backoff_ms = 0;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(target_hash, outstanding, waiting, slowness_percent, usable);
+    archive(target_hash, outstanding, waiting, slowness_percent, usable,
+            backoff_ms);
   }
 };
 
@@ -91,12 +97,14 @@
   std::vector<PlacedRequests> placed;
   // Some members of the sender's region, in turn.
   std::vector<RelayedBeat> relayed;
+  // Some of the targets that told the sender in an answer that they leave.
+  std::vector<TargetStart> departed;
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(identity, leaving, ready, beat, echoed_beat, incarnation_seen,
             state_digest, state_sum, withdrawn_hash, load_permille, key_epoch,
-            work, placed, relayed);
+            work, placed, relayed, departed);
   }
 };
 
--- a/src/routing/fair_queue.h
+++ b/src/routing/fair_queue.h
@@ -28,6 +28,8 @@
   // Returns the first waiter of each workspace, in the order in which they are
   // to be served.
   std::vector<WaiterPtr> Heads() const;
+  // Returns all that wait, in no particular order.
+  std::vector<WaiterPtr> All() const;
   // Takes a head out that is served now.
   void Serve(const WaiterPtr& head);
   // Takes out a waiter that gave up.
--- a/src/routing/internal/fair_queue.cc
+++ b/src/routing/internal/fair_queue.cc
@@ -51,6 +51,15 @@
   return heads;
 }
 
+std::vector<FairQueue::WaiterPtr> FairQueue::All() const {
+  std::vector<WaiterPtr> all;
+  all.reserve(size_);
+  for (const auto& [workspace, flow] : flows_) {
+    all.insert(all.end(), flow.waiters.begin(), flow.waiters.end());
+  }
+  return all;
+}
+
 void FairQueue::Serve(const WaiterPtr& head) {
   Flow& flow = flows_.at(head->request.workspace);
   flow.waiters.pop_front();
--- a/src/routing/internal/led_placement.cc
+++ b/src/routing/internal/led_placement.cc
@@ -79,6 +79,12 @@
   }
   ListCandidates(request, *targets);
   if (candidates_.empty()) {
+    const Milliseconds backoff =
+        ShortestBackoff(request, *targets, Clock::now());
+    if (backoff > Milliseconds(0)) {
+      return NotRun(Errc::kTargetBackoff, "all targets have asked for time",
+                    backoff);
+    }
     return NotRun(Errc::kNoTarget, "no target takes work", kNoTargetRetry);
   }
   const std::optional<size_t> best = Choose(request);
@@ -243,8 +249,11 @@
                                 const Heartbeat& heartbeat) {
   const TimePoint now = Clock::now();
   for (const TargetWork& work : heartbeat.work) {
-    reports_[work.target_hash] = {member.name, work.outstanding + work.waiting,
-                                  work.slowness_percent / kPercent, work.usable,
+    reports_[work.target_hash] = {member.name,
+                                  work.outstanding + work.waiting,
+                                  work.slowness_percent / kPercent,
+                                  work.usable || work.backoff_ms > 0,
+                                  now + Milliseconds(work.backoff_ms),
                                   now};
   }
 }
@@ -263,7 +272,7 @@
     slowness = target.state->slowness();
   } else {
     const Report* const report = ReportOf(target, now);
-    if (report != nullptr && !report->usable) {
+    if (report != nullptr && (!report->usable || now < report->backoff_end)) {
       return false;
     }
     candidate->work = report == nullptr ? 0 : report->work;
@@ -278,6 +287,31 @@
   return true;
 }
 
+Milliseconds LedPlacement::ShortestBackoff(
+    const PlaceRequest& request,
+    const std::vector<PlacementTarget>& targets,
+    TimePoint now) const {
+  TimePoint first = TimePoint::max();
+  for (const PlacementTarget& target : targets) {
+    const TimePoint end = BackoffEnd(target, now);
+    if (end > now && request.may_run_in(target.target->region)) {
+      first = std::min(first, end);
+    }
+  }
+  return first == TimePoint::max()
+             ? Milliseconds(0)
+             : std::chrono::ceil<Milliseconds>(first - now);
+}
+
+TimePoint LedPlacement::BackoffEnd(const PlacementTarget& target,
+                                   TimePoint now) const {
+  if (target.leader == identity_->name) {
+    return target.state == nullptr ? now : now + target.state->BackoffLeft(now);
+  }
+  const Report* const report = ReportOf(target, now);
+  return report == nullptr ? now : report->backoff_end;
+}
+
 const LedPlacement::Report* LedPlacement::ReportOf(
     const PlacementTarget& target,
     TimePoint now) const {
--- a/src/routing/internal/led_placement.h
+++ b/src/routing/internal/led_placement.h
@@ -47,6 +47,8 @@
     int work = 0;
     double slowness = 1;
     bool usable = true;
+    // Until when the target wants no requests.
+    TimePoint backoff_end;
     TimePoint at;
   };
 
@@ -68,6 +70,13 @@
   bool Describe(const PlacementTarget& target,
                 TimePoint now,
                 PlaceCandidate* candidate) const;
+  // Returns the time until the first target of a request takes requests again,
+  // if some have asked for time; zero when none has.
+  Milliseconds ShortestBackoff(const PlaceRequest& request,
+                               const std::vector<PlacementTarget>& targets,
+                               TimePoint now) const;
+  // Returns when a target takes requests again; the past when it does now.
+  TimePoint BackoffEnd(const PlacementTarget& target, TimePoint now) const;
   // What a target's leader says of it; null when that is old or unknown.
   const Report* ReportOf(const PlacementTarget& target, TimePoint now) const;
   // Time to the entries of a region and back, in milliseconds.
--- a/src/routing/internal/local_target_router.cc
+++ b/src/routing/internal/local_target_router.cc
@@ -16,12 +16,8 @@
 constexpr Milliseconds kWakeInterval{5};
 constexpr double kFullLoad = 1000;
 constexpr double kPercent = 100;
+constexpr char kAskedForTime[] = "the target has asked for time";
 
-// Returns whether two descriptions are of the same start of a target.
-bool IsSame(const Target& a, const Target& b) {
-  return a.name == b.name && a.address == b.address &&
-         a.started_at == b.started_at;
-}
 }  // namespace
 
 LocalTargetRouter::LocalTargetRouter(boost::asio::io_context& io,
@@ -35,6 +31,7 @@
       identity_(std::move(identity)),
       choice_(std::move(choice)),
       options_(options),
+      notices_(metrics),
       random_(std::random_device{}()),
       wake_(io, kWakeInterval, [this]() { ServeAllWaiters(); }),
       health_(io, sockets) {}
@@ -46,7 +43,11 @@
   membership_ = std::move(membership);
   config_ = std::move(config);
   cold_share_ = ColdShare(identity_, membership_, options_.led_targets);
+  notices_.Attach(config_);
   config_->on_change().Subscribe([this]() { ApplyConfig(); });
+  membership_->AddBeatSource([this](Heartbeat& heartbeat) {
+    heartbeat.departed = notices_.NextToTell(Clock::now());
+  });
   if (!options_.led_targets) {
     membership_->AddBeatSource([this](Heartbeat& heartbeat) {
       for (const auto& [name, pool] : pools_) {
@@ -62,6 +63,9 @@
   membership_->on_heartbeat().Subscribe(
       [this](const Member& member, const Heartbeat& heartbeat) {
         ApplyPeerWork(member, heartbeat);
+        if (notices_.NotePeer(heartbeat.departed, member.name, Clock::now())) {
+          CloseDeparted();
+        }
       });
 }
 
@@ -79,11 +83,17 @@
 Result<TargetLease> LocalTargetRouter::AcquireSlot(const SlotRequest& request,
                                                    const Yield& yield) {
   const auto found = pools_.find(request.service);
+  const TimePoint now = Clock::now();
+  const Milliseconds backoff =
+      found == pools_.end() ? Milliseconds(0)
+                            : found->second.BackoffLeft(request.target, now);
+  if (backoff > Milliseconds(0)) {
+    return NotRun(Errc::kTargetBackoff, kAskedForTime, backoff);
+  }
   if (found == pools_.end() || !HasUsableTarget(request.service)) {
     return NotRun(Errc::kNoTarget, "no target takes work", Milliseconds(1000));
   }
-  Pool& pool = found->second;
-  const TimePoint now = Clock::now();
+  TargetPool& pool = found->second;
   const FairQueue::WaiterPtr waiter =
       std::make_shared<SlotWaiter>(io_, request, now);
   if (!request.target.empty()) {
@@ -112,13 +122,46 @@
   return WaitForSlot(pool, waiter, yield);
 }
 
+void LocalTargetRouter::NoteLeaving(const TargetStart& target,
+                                    std::string_view name,
+                                    std::string_view request_id) {
+  if (notices_.NoteLeaving(target, name, request_id, Clock::now())) {
+    CloseDeparted();
+    membership_->BeatFew();
+  }
+}
+
+void LocalTargetRouter::NoteBackoff(const Target& target,
+                                    Milliseconds asked,
+                                    std::string_view request_id) {
+  const TimePoint now = Clock::now();
+  const TimePoint end = notices_.NoteBackoff(
+      {target.name, target.started_at}, target.name, asked, request_id, now);
+  for (const auto& [name, pool] : pools_) {
+    const StatePtr state = pool.Find(target);
+    if (state) {
+      state->SetBackoff(end);
+      pool.TurnWaitersAway(now);
+    }
+  }
+}
+
+void LocalTargetRouter::CloseDeparted() {
+  const TimePoint now = Clock::now();
+  for (auto& [name, pool] : pools_) {
+    for (const StatePtr& state : pool.targets) {
+      if (IsClosed(state->target())) {
+        state->SetClosed(true, now);
+      }
+    }
+    pool.TurnWaitersAway(now);
+  }
+  on_departure_.Notify();
+}
+
 bool LocalTargetRouter::HasUsableTarget(std::string_view service) const {
   const auto pool = pools_.find(service);
-  const TimePoint now = Clock::now();
-  return pool != pools_.end() &&
-         std::any_of(
-             pool->second.targets.begin(), pool->second.targets.end(),
-             [now](const StatePtr& state) { return state->Usable(now); });
+  return pool != pools_.end() && pool->second.HasUsable(Clock::now());
 }
 
 Milliseconds LocalTargetRouter::TypicalRun(const std::string& service) const {
@@ -130,11 +173,8 @@
   int work = 0;
   const TimePoint now = Clock::now();
   for (const auto& [name, pool] : pools_) {
-    for (const StatePtr& state : pool.targets) {
-      slots += state->Usable(now) ? state->target().slots : 0;
-      work += state->KnownWork(now);
-    }
-    work += static_cast<int>(pool.queue.size());
+    slots += pool.UsableSlots(now);
+    work += pool.KnownWork(now);
   }
   if (slots == 0) {
     return 0;
@@ -172,28 +212,25 @@
 
 const TargetState* LocalTargetRouter::FindTarget(const Target& target) const {
   for (const auto& [name, pool] : pools_) {
-    for (const StatePtr& state : pool.targets) {
-      if (IsSame(state->target(), target)) {
-        return state.get();
-      }
+    const StatePtr state = pool.Find(target);
+    if (state) {
+      return state.get();
     }
   }
   return nullptr;
 }
 
-Milliseconds LocalTargetRouter::ExpectedWait(const Pool& pool,
+Milliseconds LocalTargetRouter::ExpectedWait(const TargetPool& pool,
                                              const std::string& target) const {
-  const auto state = std::find_if(
-      pool.targets.begin(), pool.targets.end(),
-      [&target](const StatePtr& s) { return s->target().name == target; });
-  if (state == pool.targets.end()) {
+  const StatePtr state = pool.Find(target);
+  if (!state) {
     return Milliseconds::max();
   }
-  const double ahead = (*state)->outstanding() + WaitingFor(target) + 1 -
-                       (*state)->target().slots;
-  const double run = (*state)->slowness() * pool.times.warm_ms();
-  return Milliseconds(static_cast<int64_t>(std::max(0.0, ahead) /
-                                           (*state)->target().slots * run));
+  const double ahead =
+      state->outstanding() + WaitingFor(target) + 1 - state->target().slots;
+  const double run = state->slowness() * pool.times.warm_ms();
+  return Milliseconds(
+      static_cast<int64_t>(std::max(0.0, ahead) / state->target().slots * run));
 }
 
 int LocalTargetRouter::WaitingFor(const std::string& target) const {
@@ -220,7 +257,9 @@
            static_cast<uint16_t>(WaitingFor(state->target().name)),
            static_cast<uint16_t>(
                std::min<double>(state->slowness() * kPercent, UINT16_MAX)),
-           state->Usable(now)});
+           state->Usable(now),
+           static_cast<uint32_t>(std::min<int64_t>(
+               state->BackoffLeft(now).count(), UINT32_MAX))});
     }
   }
 }
@@ -228,46 +267,28 @@
 void LocalTargetRouter::ApplyConfig() {
   const std::shared_ptr<const SteeringDocument> document = config_->document();
   const TimePoint now = Clock::now();
-  leaving_.clear();
-  for (const ListedInstance& instance : config_->listing().instances) {
-    if (instance.leaving) {
-      leaving_.insert(instance.name);
-    }
-  }
+  notices_.ApplyListing(now);
   CloseRemovedServices(*document, now);
   for (const auto& [name, service] : document->services()) {
-    Pool& pool =
+    TargetPool& pool =
         pools_.try_emplace(name, options_.queue_per_workspace).first->second;
     for (const Target& target : service.targets) {
       if (target.region != identity_->region) {
         continue;
       }
-      const auto known = std::find_if(pool.targets.begin(), pool.targets.end(),
-                                      [&target](const StatePtr& state) {
-                                        return IsSame(state->target(), target);
-                                      });
-      StatePtr state;
-      if (known == pool.targets.end()) {
+      StatePtr state = pool.Find(target);
+      if (state) {
+        state->SetTarget(target, now);
+      } else {
         state = std::make_shared<TargetState>(target, now);
         pool.targets.push_back(state);
-      } else {
-        state = *known;
-        state->SetTarget(target, now);
       }
       state->SetWarmUp(service.warm_up, service.warm_up_rate,
                        cold_share_.PartOf(target), now);
       state->SetClosed(IsClosed(target), now);
+      state->SetBackoff(notices_.BackoffEnd(target));
     }
-    pool.targets.erase(
-        std::remove_if(pool.targets.begin(), pool.targets.end(),
-                       [&service = service](const StatePtr& state) {
-                         return std::none_of(
-                             service.targets.begin(), service.targets.end(),
-                             [&state](const Target& target) {
-                               return IsSame(state->target(), target);
-                             });
-                       }),
-        pool.targets.end());
+    pool.KeepListed(service.targets);
   }
 }
 
@@ -283,17 +304,6 @@
   }
 }
 
-bool LocalTargetRouter::IsClosed(const Target& target) const {
-  const Drains& drains = config_->drains();
-  if (drains.targets.count(target.name) > 0 ||
-      drains.failure_domains.count(target.failure_domain) > 0 ||
-      drains.target_failure_domains.count(target.failure_domain) > 0 ||
-      drains.regions.count(target.region) > 0) {
-    return true;
-  }
-  return leaving_.count(target.name) > 0;
-}
-
 void LocalTargetRouter::ApplyPeerWork(const Member& member,
                                       const Heartbeat& heartbeat) {
   if (member.region != identity_->region) {
@@ -315,23 +325,10 @@
 }
 
 std::shared_ptr<TargetState> LocalTargetRouter::TryChoose(
-    Pool& pool,
+    TargetPool& pool,
     const SlotRequest& request,
     TimePoint now) {
-  std::vector<TargetState*> preferred;
-  std::vector<TargetState*> others;
-  for (const StatePtr& state : pool.targets) {
-    const std::string& name = state->target().name;
-    const bool wanted = request.target.empty() || request.target == name;
-    if (!wanted || !state->Available(now) || request.exclude.count(name) > 0) {
-      continue;
-    }
-    const bool avoid =
-        state->target().failure_domain == request.avoid_failure_domain;
-    (avoid ? others : preferred).push_back(state.get());
-  }
-  const std::vector<TargetState*>& candidates =
-      preferred.empty() ? others : preferred;
+  const std::vector<TargetState*> candidates = pool.Candidates(request, now);
   if (candidates.empty()) {
     return nullptr;
   }
@@ -343,7 +340,7 @@
 }
 
 Result<TargetLease> LocalTargetRouter::WaitForSlot(
-    Pool& pool,
+    TargetPool& pool,
     const FairQueue::WaiterPtr& waiter,
     const Yield& yield) {
   if (!waking_) {
@@ -362,6 +359,13 @@
     return MakeLease(waiter->granted, waiter->request);
   }
   pool.queue.Remove(waiter);
+  if (waiter->turned_away) {
+    const Milliseconds backoff = pool.BackoffLeft(target, Clock::now());
+    return backoff > Milliseconds(0)
+               ? NotRun(Errc::kTargetBackoff, kAskedForTime, backoff)
+               : NotRun(Errc::kNoTarget, "the target leaves",
+                        Milliseconds(1000));
+  }
   if (waiter->unpaid) {
     return NotRun(Errc::kRateExceeded, "no tokens in time");
   }
@@ -398,8 +402,12 @@
                                    Milliseconds latency,
                                    bool warm) {
   const TimePoint now = Clock::now();
+  const bool returning = state->returning();
   state->End(outcome, latency, now);
-  Pool& pool = pools_.find(service)->second;
+  if (returning && !state->returning()) {
+    spdlog::info("event=target_returned target={}", state->target().name);
+  }
+  TargetPool& pool = pools_.find(service)->second;
   if (outcome == AttemptOutcome::kAnswered) {
     const double usual = warm ? pool.times.warm_ms() : pool.times.cold_ms();
     state->NoteRun(static_cast<double>(latency.count()) / usual);
@@ -413,7 +421,7 @@
   ServeWaiters(pool, now);
 }
 
-void LocalTargetRouter::MaybeEject(Pool& pool,
+void LocalTargetRouter::MaybeEject(TargetPool& pool,
                                    const StatePtr& state,
                                    TimePoint now) {
   const auto ejected =
@@ -433,12 +441,12 @@
       .Add();
 }
 
-void LocalTargetRouter::ServeWaiters(Pool& pool, TimePoint now) {
+void LocalTargetRouter::ServeWaiters(TargetPool& pool, TimePoint now) {
   while (ServeNext(pool, now)) {
   }
 }
 
-bool LocalTargetRouter::ServeNext(Pool& pool, TimePoint now) {
+bool LocalTargetRouter::ServeNext(TargetPool& pool, TimePoint now) {
   const std::vector<FairQueue::WaiterPtr> heads = pool.queue.Heads();
   return std::any_of(heads.begin(), heads.end(),
                      [this, &pool, now](const FairQueue::WaiterPtr& head) {
@@ -446,7 +454,7 @@
                      });
 }
 
-bool LocalTargetRouter::TryServe(Pool& pool,
+bool LocalTargetRouter::TryServe(TargetPool& pool,
                                  const FairQueue::WaiterPtr& head,
                                  TimePoint now) {
   const StatePtr state = TryChoose(pool, head->request, now);
--- a/src/routing/internal/local_target_router.h
+++ b/src/routing/internal/local_target_router.h
@@ -5,15 +5,14 @@
 #include <map>
 #include <memory>
 #include <random>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "framework/kernel/periodic_task.h"
-#include "routing/fair_queue.h"
 #include "routing/internal/cold_share.h"
 #include "routing/internal/health_poller.h"
-#include "routing/service_times.h"
+#include "routing/internal/target_notices.h"
+#include "routing/internal/target_pool.h"
 #include "routing/target_choice.h"
 #include "routing/target_router.h"
 #include "routing/target_router_options.h"
@@ -47,6 +46,12 @@
 
   Result<TargetLease> AcquireSlot(const SlotRequest& request,
                                   const Yield& yield) override;
+  void NoteLeaving(const TargetStart& target,
+                   std::string_view name,
+                   std::string_view request_id) override;
+  void NoteBackoff(const Target& target,
+                   Milliseconds asked,
+                   std::string_view request_id) override;
   bool HasUsableTarget(std::string_view service) const override;
   Milliseconds TypicalRun(const std::string& service) const override;
   uint16_t LoadPermille() const override;
@@ -63,39 +68,44 @@
   void ReportTargets(const std::function<bool(const Target&)>& is_own,
                      Heartbeat* heartbeat) const;
   // Returns whether a target, of any region, is to get no new work.
-  bool IsClosed(const Target& target) const;
+  bool IsClosed(const Target& target) const {
+    return notices_.IsClosed(target);
+  }
+  // Tells that targets have left, as their answers or other instances say.
+  Channel<>& on_departure() { return on_departure_; }
 
  private:
-  using StatePtr = std::shared_ptr<TargetState>;
-  struct Pool {
-    explicit Pool(size_t queue_limit) : queue(queue_limit) {}
-    std::vector<StatePtr> targets;
-    FairQueue queue;
-    ServiceTimes times;
-  };
-  using PoolMap = std::map<std::string, Pool, std::less<>>;
+  using StatePtr = TargetPool::StatePtr;
+  using PoolMap = std::map<std::string, TargetPool, std::less<>>;
 
   void ApplyConfig();
   void CloseRemovedServices(const SteeringDocument& document, TimePoint now);
   void ApplyPeerWork(const Member& member, const Heartbeat& heartbeat);
-  StatePtr TryChoose(Pool& pool, const SlotRequest& request, TimePoint now);
-  Result<TargetLease> WaitForSlot(Pool& pool,
+  // Closes targets that were found to have left.
+  void CloseDeparted();
+  StatePtr TryChoose(TargetPool& pool,
+                     const SlotRequest& request,
+                     TimePoint now);
+  Result<TargetLease> WaitForSlot(TargetPool& pool,
                                   const FairQueue::WaiterPtr& waiter,
                                   const Yield& yield);
   TargetLease MakeLease(const StatePtr& state, const SlotRequest& request);
   // Time until a request that comes now would get a slot of a target.
-  Milliseconds ExpectedWait(const Pool& pool, const std::string& target) const;
+  Milliseconds ExpectedWait(const TargetPool& pool,
+                            const std::string& target) const;
   void EndAttempt(const std::string& service,
                   const StatePtr& state,
                   AttemptOutcome outcome,
                   Milliseconds latency,
                   bool warm);
-  void MaybeEject(Pool& pool, const StatePtr& state, TimePoint now);
+  void MaybeEject(TargetPool& pool, const StatePtr& state, TimePoint now);
   // Gives free slots to waiting requests that can pay.
-  void ServeWaiters(Pool& pool, TimePoint now);
+  void ServeWaiters(TargetPool& pool, TimePoint now);
   // Serves the first workspace that can be; returns whether there was one.
-  bool ServeNext(Pool& pool, TimePoint now);
-  bool TryServe(Pool& pool, const FairQueue::WaiterPtr& head, TimePoint now);
+  bool ServeNext(TargetPool& pool, TimePoint now);
+  bool TryServe(TargetPool& pool,
+                const FairQueue::WaiterPtr& head,
+                TimePoint now);
   void ServeAllWaiters();
   std::vector<StatePtr> AllStates() const;
 
@@ -107,8 +117,8 @@
   std::shared_ptr<Membership> membership_;
   std::shared_ptr<SteeringConfig> config_;
   PoolMap pools_;
-  // Names of targets that the platform lists as leaving.
-  std::set<std::string, std::less<>> leaving_;
+  TargetNotices notices_;
+  Channel<> on_departure_;
   // By target: requests that wait for it alone.
   std::map<std::string, int> waiting_for_;
   std::mt19937_64 random_;
--- a/src/routing/internal/placement_targets.h
+++ b/src/routing/internal/placement_targets.h
@@ -48,7 +48,8 @@
                    std::shared_ptr<LocalTargetRouter> router);
 
   // Returns the targets of a service; null when the service does not exist.
-  // Valid until the next change of configuration or membership.
+  // Valid until the next change of configuration or membership, or departure of
+  // a target.
   const std::vector<PlacementTarget>* Of(const std::string& service);
   // Regions of targets by their numbers, in the order in which they were met;
   // this instance's own is kNearRegion.
--- /dev/null
+++ b/src/routing/internal/target_pool.cc
@@ -0,0 +1,114 @@
+#include "routing/internal/target_pool.h"
+
+#include <algorithm>
+
+namespace redwing {
+
+namespace {
+
+// Returns whether two descriptions are of the same start of a target.
+bool IsSame(const Target& a, const Target& b) {
+  return a.name == b.name && a.address == b.address &&
+         a.started_at == b.started_at;
+}
+
+template <typename Condition>
+TargetPool::StatePtr FindIf(const std::vector<TargetPool::StatePtr>& targets,
+                            Condition condition) {
+  const auto found = std::find_if(
+      targets.begin(), targets.end(),
+      [&condition](const auto& state) { return condition(state->target()); });
+  return found == targets.end() ? nullptr : *found;
+}
+
+}  // namespace
+
+TargetPool::StatePtr TargetPool::Find(const std::string& name) const {
+  return FindIf(targets,
+                [&name](const Target& target) { return target.name == name; });
+}
+
+TargetPool::StatePtr TargetPool::Find(const Target& target) const {
+  return FindIf(targets, [&target](const Target& known) {
+    return IsSame(known, target);
+  });
+}
+
+void TargetPool::KeepListed(const std::vector<Target>& listed) {
+  targets.erase(std::remove_if(targets.begin(), targets.end(),
+                               [&listed](const StatePtr& state) {
+                                 return std::none_of(
+                                     listed.begin(), listed.end(),
+                                     [&state](const Target& target) {
+                                       return IsSame(state->target(), target);
+                                     });
+                               }),
+                targets.end());
+}
+
+bool TargetPool::HasUsable(TimePoint now) const {
+  return std::any_of(
+      targets.begin(), targets.end(),
+      [now](const StatePtr& state) { return state->Usable(now); });
+}
+
+int TargetPool::UsableSlots(TimePoint now) const {
+  int slots = 0;
+  for (const StatePtr& state : targets) {
+    slots += state->Usable(now) ? state->target().slots : 0;
+  }
+  return slots;
+}
+
+int TargetPool::KnownWork(TimePoint now) const {
+  int work = static_cast<int>(queue.size());
+  for (const StatePtr& state : targets) {
+    work += state->KnownWork(now);
+  }
+  return work;
+}
+
+std::vector<TargetState*> TargetPool::Candidates(const SlotRequest& request,
+                                                 TimePoint now) const {
+  std::vector<TargetState*> preferred;
+  std::vector<TargetState*> others;
+  for (const StatePtr& state : targets) {
+    const std::string& name = state->target().name;
+    const bool wanted = request.target.empty() || request.target == name;
+    if (!wanted || !state->Available(now) || request.exclude.count(name) > 0) {
+      continue;
+    }
+    const bool avoid =
+        state->target().failure_domain == request.avoid_failure_domain;
+    (avoid ? others : preferred).push_back(state.get());
+  }
+  return preferred.empty() ? others : preferred;
+}
+
+Milliseconds TargetPool::BackoffLeft(const std::string& name,
+                                     TimePoint now) const {
+  Milliseconds shortest = Milliseconds::max();
+  for (const StatePtr& state : targets) {
+    const bool wanted = name.empty() || name == state->target().name;
+    if (wanted && !state->closed()) {
+      shortest = std::min(shortest, state->BackoffLeft(now));
+    }
+  }
+  return shortest == Milliseconds::max() ? Milliseconds(0) : shortest;
+}
+
+void TargetPool::TurnWaitersAway(TimePoint now) const {
+  for (const FairQueue::WaiterPtr& waiter : queue.All()) {
+    const std::string& name = waiter->request.target;
+    waiter->turned_away = std::none_of(
+        targets.begin(), targets.end(), [&name, now](const StatePtr& state) {
+          return (name.empty() || name == state->target().name) &&
+                 state->TakesRequests(now);
+        });
+    if (waiter->turned_away) {
+      waiter->timer.cancel();
+    }
+  }
+}
+
+}  // namespace redwing
--- a/src/routing/internal/target_state.cc
+++ b/src/routing/internal/target_state.cc
@@ -97,10 +97,22 @@
   }
 }
 
+void TargetState::SetBackoff(TimePoint end) {
+  if (end > backoff_end_) {
+    backoff_end_ = end;
+    returning_ = true;
+  }
+}
+
+Milliseconds TargetState::BackoffLeft(TimePoint now) const {
+  return std::chrono::ceil<Milliseconds>(
+      std::max(Clock::duration(0), backoff_end_ - now));
+}
+
 int TargetState::Limit(TimePoint now) const {
   const bool probing =
       ejections_ > 0 && (failures_in_row_ > 0 || error_answers_in_row_ > 0);
-  if (probing || now < shed_until_) {
+  if (probing || returning_ || now < shed_until_) {
     return 1;
   }
   const double warm =
@@ -119,7 +131,7 @@
 }
 
 bool TargetState::Usable(TimePoint now) const {
-  return !closed_ && !leaving_ && !Ejected(now);
+  return TakesRequests(now) && !Ejected(now);
 }
 
 bool TargetState::AddKey(const std::string& affinity_key) {
@@ -152,6 +164,7 @@
       failures_in_row_ = 0;
       error_answers_in_row_ = 0;
       ejections_ = 0;
+      returning_ = false;
       const double sample = static_cast<double>(latency.count());
       latency_ms_ += (sample - latency_ms_) * kLatencySmoothing;
       break;
--- a/src/routing/slot_waiter.h
+++ b/src/routing/slot_waiter.h
@@ -22,6 +22,8 @@
   TimePoint since;
   // There was a slot, and the request could not pay.
   bool unpaid = false;
+  // No target that it could get takes requests any more.
+  bool turned_away = false;
   // The target whose slot was given to the waiter.
   std::shared_ptr<TargetState> granted;
 };
--- a/src/routing/target_router.h
+++ b/src/routing/target_router.h
@@ -7,6 +7,8 @@
 
 #include "framework/errors/result.h"
 #include "framework/http/http_types.h"
+#include "framework/kernel/channel.h"
+#include "membership/target_start.h"
 #include "routing/slot_request.h"
 #include "routing/target_lease.h"
 
@@ -31,10 +33,22 @@
   virtual ~TargetRouter() = default;
 
   // Waits for a slot that the request can pay for. Fails with kNotRun:
-  // kNoTarget, kQueueFull, kDeadlinePassed, kRateExceeded for want of tokens.
+  // kNoTarget, kQueueFull, kTargetBackoff and the time until the first target
+  // takes requests again, kDeadlinePassed, kRateExceeded for want of tokens.
   virtual Result<TargetLease> AcquireSlot(const SlotRequest& request,
                                           const Yield& yield) = 0;
 
+  // Notes that a target of any region says in the answer to a request that it
+  // leaves: it gets no new work. `name`: for the log.
+  virtual void NoteLeaving(const TargetStart& target,
+                           std::string_view name,
+                           std::string_view request_id) = 0;
+  // Notes that a target of this region has turned a request away and wants
+  // nothing more for a time.
+  virtual void NoteBackoff(const Target& target,
+                           Milliseconds asked,
+                           std::string_view request_id) = 0;
+
   // Returns whether the region has targets of the service that take work.
   virtual bool HasUsableTarget(std::string_view service) const = 0;
   // What a run of a service is likely to take.
--- a/src/routing/target_state.h
+++ b/src/routing/target_state.h
@@ -60,6 +60,18 @@
   double ExpectedWork(TimePoint now) const;
   void SetPeerWork(const std::string& peer, int work, TimePoint now);
 
+  // Sets until when the target wants no requests; an earlier end changes
+  // nothing. After it the target gets one at a time until it answers one.
+  void SetBackoff(TimePoint end);
+  // Returns how long the target still wants no requests.
+  Milliseconds BackoffLeft(TimePoint now) const;
+  // Returns whether the target has answered nothing since it wanted none.
+  bool returning() const { return returning_; }
+  // Returns whether a request that has its slot may still be sent.
+  bool TakesRequests(TimePoint now) const {
+    return !closed_ && !leaving_ && now >= backoff_end_;
+  }
+
   // Slots that may be in use now; fewer during a slow start.
   int Limit(TimePoint now) const;
   // Returns whether the target may be given a request.
@@ -109,6 +121,8 @@
   TimePoint opened_at_;
   TimePoint ejected_until_;
   TimePoint shed_until_;
+  TimePoint backoff_end_;
+  bool returning_ = false;
   // It has a queue of its own until about then.
   TimePoint queue_until_;
   Milliseconds warm_up_{0};
--- a/testing/platform_stand_in/platform_stand_in.cc
+++ b/testing/platform_stand_in/platform_stand_in.cc
@@ -86,7 +86,8 @@
 
 void PlatformStandIn::List(size_t target,
                            const std::string& state,
-                           const std::string& service) {
+                           const std::string& service,
+                           int64_t born) {
   const int index = static_cast<int>(target);
   world_.store->Put("servers", world_.targets[target]->id(),
                     {{"service", service},
@@ -97,7 +98,7 @@
                      {"state", state},
                      {"warmup_time", "0ms"},
                      {"seq", ++sequence_},
-                     {"born", 1000}});
+                     {"born", born}});
 }
 
 int PlatformStandIn::RunsOf(const std::string& request_id) {
--- a/testing/platform_stand_in/platform_stand_in.h
+++ b/testing/platform_stand_in/platform_stand_in.h
@@ -36,7 +36,8 @@
   // Writes what a target says of itself.
   void List(size_t target,
             const std::string& state,
-            const std::string& service = "svc");
+            const std::string& service = "svc",
+            int64_t born = 1000);
   // Sum of all targets' runs of a request.
   int RunsOf(const std::string& request_id);
   size_t RunCount();
--- a/testing/platform_stand_in/target_stand_in.cc
+++ b/testing/platform_stand_in/target_stand_in.cc
@@ -13,12 +13,8 @@
 namespace {
 constexpr size_t kMaxBody = 1024 * 1024;  // bytes
 
-ResponseHeader Answer(unsigned status, std::string_view request_id) {
-  ResponseHeader header;
-  header.result(status);
-  header.set("X-Redwingcart-Request-Id", BeastView(request_id));
-  return header;
-}
+// From then on a target's wish for no requests must have been heard.
+constexpr Milliseconds kHeardAfter{500};
 }  // namespace
 
 TargetStandIn::TargetStandIn(boost::asio::io_context& io,
@@ -35,6 +31,51 @@
   return FormatEndpoint(server_.local_endpoint());
 }
 
+void TargetStandIn::SetLeaving(bool leaving) {
+  leaving_ = leaving;
+  said_leaving_at_.reset();
+}
+
+int TargetStandIn::ArrivedAfterLeaving(Milliseconds allowed) const {
+  return static_cast<int>(std::count_if(
+      arrivals_.begin(), arrivals_.end(), [this, allowed](TimePoint at) {
+        return said_leaving_at_ && at > *said_leaving_at_ + allowed;
+      }));
+}
+
+ResponseHeader TargetStandIn::Answer(unsigned status,
+                                     std::string_view request_id) {
+  ResponseHeader header;
+  header.result(status);
+  header.set("X-Redwingcart-Request-Id", BeastView(request_id));
+  if (leaving_) {
+    header.set("Server-Leaving", "1");
+    said_leaving_at_ = said_leaving_at_.value_or(Clock::now());
+  }
+  return header;
+}
+
+void TargetStandIn::NoteArrival() {
+  const TimePoint now = Clock::now();
+  arrivals_.push_back(now);
+  for (AskedTime& time : asked_) {
+    time.arrived += now >= time.from && now < time.end ? 1 : 0;
+    most_inside_backoff_ = std::max(most_inside_backoff_, time.arrived);
+  }
+}
+
+void TargetStandIn::TurnAway(HttpExchange& exchange,
+                             const std::string& request_id,
+                             const Yield& yield) {
+  const TimePoint now = Clock::now();
+  asked_.push_back({now + kHeardAfter, now + *backoff_});
+  ResponseHeader header = Answer(503, request_id);
+  header.set("X-Redwingcart-Not-Executed", "1");
+  header.set(http::field::retry_after,
+             fmt::format("{:.3f}", ToSeconds(*backoff_)));
+  exchange.Respond(std::move(header), "", yield);
+}
+
 void TargetStandIn::Handle(HttpExchange& exchange, const Yield& yield) {
   const std::string request_id(exchange.Header("X-Redwingcart-Request-Id"));
   const std::string_view wanted =
@@ -43,6 +84,11 @@
     exchange.Respond(Answer(421, request_id), "", yield);
     return;
   }
+  NoteArrival();
+  if (backoff_) {
+    TurnAway(exchange, request_id, yield);
+    return;
+  }
   if (running_ >= slots_) {
     ResponseHeader header = Answer(503, request_id);
     header.set("X-Redwingcart-Not-Executed", "1");
--- a/testing/platform_stand_in/target_stand_in.h
+++ b/testing/platform_stand_in/target_stand_in.h
@@ -1,7 +1,7 @@
 #ifndef REDWING_TESTING_PLATFORM_STAND_IN_TARGET_STAND_IN_H_
 #define REDWING_TESTING_PLATFORM_STAND_IN_TARGET_STAND_IN_H_
 
-#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,8 +47,31 @@
   int most_at_once() const { return most_at_once_; }
   void SetMode(TargetMode mode) { mode_ = mode; }
   void SetRunTime(Milliseconds time) { run_time_ = time; }
+  // Says in all answers that it leaves, or no more.
+  void SetLeaving(bool leaving);
+  // Requests that arrived later than this after the first answer that said so.
+  int ArrivedAfterLeaving(Milliseconds allowed) const;
+  // Turns each request away and asks for a time, or, with none, runs them.
+  void SetBackoff(std::optional<Milliseconds> backoff) { backoff_ = backoff; }
+  // Most requests that arrived inside one time that it had asked for, from half
+  // a second after it asked.
+  int most_inside_backoff() const { return most_inside_backoff_; }
+  int turned_away() const { return static_cast<int>(asked_.size()); }
 
  private:
+  // A time for which it has asked for no requests.
+  struct AskedTime {
+    TimePoint from;
+    TimePoint end;
+    int arrived = 0;
+  };
+
+  void NoteArrival();
+  void TurnAway(HttpExchange& exchange,
+                const std::string& request_id,
+                const Yield& yield);
+  ResponseHeader Answer(unsigned status, std::string_view request_id);
+
   boost::asio::io_context& io_;
   std::string id_;
   int slots_;
@@ -60,6 +83,12 @@
   int most_at_once_ = 0;
   TargetMode mode_ = TargetMode::kAnswer;
   Milliseconds run_time_{20};
+  bool leaving_ = false;
+  std::optional<TimePoint> said_leaving_at_;
+  std::vector<TimePoint> arrivals_;
+  std::optional<Milliseconds> backoff_;
+  std::vector<AskedTime> asked_;
+  int most_inside_backoff_ = 0;
 };
 
 }  // namespace redwing::testing
