A busy event loop reads all datagrams and accepts all peers' calls that wait in one turn

Cause: datagrams were read one a turn of the event loop. An instance that is busy reads fewer a second than its peers send; they wait in a buffer of 1 MB, some 17 s of heartbeats, where nothing measures them. What it hears of changes, and of who lives, is seconds old. Evidence (trace): of 63 instances three got the change more than 2.4 s after its ack: front-kk-b-5, kk-a-3 and kk-c-3 (4.9 s). kk-c-3 and kk-a-3 are second and third in taking living members for suspect (33 and 13 times in 12 s, the other 60 instances but one together 12), and no state_behind line was written: the peers' beats with the newer sums were not read. Six pulls in ten seconds, none failed. Ruled out: failed pulls (none of that instance), the way (pulls of its neighbours passed), readers (60 instances had the change within 1.4 s). Change: wait for the socket, then read up to 64 datagrams, and accept up to 64 calls, a turn.

--- a/src/framework/peer/internal/socket_peer_transport.cc
+++ b/src/framework/peer/internal/socket_peer_transport.cc
@@ -7,6 +7,7 @@
 #include "framework/http/socket_registry.h"
 #include "framework/http/timed_socket.h"
 #include "framework/kernel/spawn.h"
+#include "framework/kernel/timer.h"
 #include "framework/metrics/metrics.h"
 #include "framework/settings/endpoint.h"
 #include "framework/wire/digest.h"
@@ -23,6 +24,10 @@
 constexpr size_t kNonceText = kNonceBytes * 2;
 constexpr int kListenAttempts = 16;
 constexpr int kReceiveBuffer = 1024 * 1024;  // bytes
+// Datagrams read, and connections accepted, in one turn of the event loop. With
+// one a turn, busy loops would hear of their peers seconds late.
+constexpr int kReadsAtOnce = 64;
+constexpr Milliseconds kAcceptRetry{50};
 
 // Incarnations grow from one start of an instance to the next while its clock
 // does; where it went back, peers answer with the incarnation they have seen.
@@ -105,6 +110,7 @@
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
   boost::system::error_code ec;
   acceptor_.bind(tcp_endpoint, ec);
+  acceptor_.non_blocking(true);
   if (!ec) {
     acceptor_.listen(boost::asio::socket_base::max_listen_connections, ec);
   }
@@ -195,17 +201,28 @@
 }
 
 void SocketPeerTransport::Receive() {
-  socket_.async_receive_from(
-      boost::asio::buffer(buffer_), from_,
-      [this](const boost::system::error_code& ec, size_t size) {
-        if (!socket_.is_open()) {
-          return;
-        }
-        if (!ec) {
-          HandleDatagram({buffer_.data(), size});
-        }
-        Receive();
-      });
+  socket_.async_wait(udp::socket::wait_read,
+                     [this](const boost::system::error_code& /*ec*/) {
+                       if (socket_.is_open()) {
+                         ReadWaiting();
+                         Receive();
+                       }
+                     });
+}
+
+void SocketPeerTransport::ReadWaiting() {
+  for (int i = 0; i < kReadsAtOnce && socket_.is_open(); ++i) {
+    boost::system::error_code ec;
+    const size_t size = socket_.receive_from(boost::asio::buffer(buffer_),
+                                             from_, /*flags=*/0, ec);
+    if (ec == boost::asio::error::would_block) {
+      return;
+    }
+    // Other errors are of one datagram: a peer's port may be closed.
+    if (!ec) {
+      HandleDatagram({buffer_.data(), size});
+    }
+  }
 }
 
 void SocketPeerTransport::HandleDatagram(std::string_view bytes) {
@@ -236,19 +253,41 @@
 }
 
 void SocketPeerTransport::Accept() {
-  acceptor_.async_accept([this](const boost::system::error_code& ec,
-                                tcp::socket accepted) {
-    if (!acceptor_.is_open()) {
-      return;
-    }
-    if (!ec) {
-      auto socket =
-          std::make_shared<TimedSocket>(sockets_, std::move(accepted));
-      socket->ExpiresAfter(kServeTimeout);
-      Spawn(io_,
-            [this, socket](const Yield& yield) { ServeCall(*socket, yield); });
+  acceptor_.async_wait(tcp::acceptor::wait_read,
+                       [this](const boost::system::error_code& /*ec*/) {
+                         if (acceptor_.is_open()) {
+                           AcceptWaiting();
+                         }
+                       });
+}
+
+void SocketPeerTransport::AcceptWaiting() {
+  boost::system::error_code ec;
+  for (int i = 0; i < kReadsAtOnce; ++i) {
+    tcp::socket accepted(io_);
+    acceptor_.accept(accepted, ec);
+    if (ec) {
+      break;
     }
+    const std::shared_ptr<TimedSocket> socket =
+        std::make_shared<TimedSocket>(sockets_, std::move(accepted));
+    socket->ExpiresAfter(kServeTimeout);
+    Spawn(io_,
+          [this, socket](const Yield& yield) { ServeCall(*socket, yield); });
+  }
+  if (!ec || ec == boost::asio::error::would_block ||
+      ec == boost::asio::error::connection_aborted) {
     Accept();
+    return;
+  }
+  // Without descriptors the connection stays in the backlog; at once the wait
+  // would end again.
+  const std::shared_ptr<Timer> timer = std::make_shared<Timer>(io_);
+  timer->expires_after(kAcceptRetry);
+  timer->async_wait([this, timer](const boost::system::error_code& failed) {
+    if (!failed && acceptor_.is_open()) {
+      Accept();
+    }
   });
 }
 
--- a/src/framework/peer/internal/socket_peer_transport.h
+++ b/src/framework/peer/internal/socket_peer_transport.h
@@ -52,8 +52,12 @@
                  bool last_attempt);
   Envelope Wrap(MessageKind kind, std::string payload);
   void Receive();
+  // Handles the datagrams that wait.
+  void ReadWaiting();
   void HandleDatagram(std::string_view bytes);
   void Accept();
+  // Accepts the connections that wait.
+  void AcceptWaiting();
   void ServeCall(TimedSocket& socket, const Yield& yield);
   void CountDropped(std::string_view reason);
 
