A request whose target stopped taking requests before it was sent is told when to return

Read in the code: a request that finds its target in a backoff once its connection is open was refused with no time, and kept that when no other place was left. The test keeps the last failure's text.

--- a/src/delivery/internal/request_carrier.cc
+++ b/src/delivery/internal/request_carrier.cc
@@ -209,6 +209,10 @@
     if (delivery.exhausted) {
       if (delivery.chosen_target.empty()) {
         last = result.error();
+      } else if (result.error().errc == Errc::kTargetBackoff &&
+                 last.verdict == Verdict::kNotRun) {
+        // What was tried says less of when a target takes requests again.
+        last.retry_after = result.error().retry_after;
       }
       break;
     }
--- a/src/delivery/internal/upstream_attempt.cc
+++ b/src/delivery/internal/upstream_attempt.cc
@@ -46,10 +46,11 @@
     pool_.Release(plan_.endpoint, connection_);
     return NotRun(Errc::kCallerGone, "caller is gone");
   }
-  if (plan_.may_send && !plan_.may_send()) {
+  const Result<void> takes =
+      plan_.check_target ? plan_.check_target() : boost::outcome_v2::success();
+  if (!takes) {
     pool_.Release(plan_.endpoint, connection_);
-    return NotRun(Errc::kTargetBackoff,
-                  "the target stopped taking requests meanwhile");
+    return takes;
   }
   const std::weak_ptr<HttpConnection> weak = connection_;
   cancellation.SetHandler([weak]() {
--- a/src/delivery/internal/upstream_attempt.h
+++ b/src/delivery/internal/upstream_attempt.h
@@ -49,9 +49,9 @@
   std::string request_id;
   // The request must not run twice.
   bool runs_once = false;
-  // Asked once a connection is there: returns whether the request may still be
-  // sent. None: it may.
-  std::function<bool()> may_send;
+  // Asked once a connection is there: fails with kNotRun when the request is
+  // not to be sent any more. None: it is sent.
+  std::function<Result<void>()> check_target;
   // Called with what a target's answer says of the target, before anything of
   // the answer is handed on.
   std::function<void(const TargetNotice&)> on_notice;
--- a/src/delivery/internal/upstream_sender.cc
+++ b/src/delivery/internal/upstream_sender.cc
@@ -32,6 +32,19 @@
 // What an estimate leaves out is paced as it is sent.
 constexpr double kMaxLinkEstimate = 16 * 1024;  // bytes
 constexpr Milliseconds kCloseIdleInterval{5'000};
+// When a request whose target has just left may find another one.
+constexpr Milliseconds kLeftRetryAfter{100};
+
+// Fails when a target has stopped taking requests since it gave its slot.
+Result<void> CheckTakes(const TargetState& state) {
+  const TimePoint now = Clock::now();
+  if (state.TakesRequests(now)) {
+    return boost::outcome_v2::success();
+  }
+  return NotRun(Errc::kTargetBackoff,
+                "the target stopped taking requests meanwhile",
+                std::max(kLeftRetryAfter, state.BackoffLeft(now)));
+}
 
 AttemptOutcome OutcomeOf(const Result<void>& result,
                          const UpstreamAttempt& attempt) {
@@ -110,7 +123,7 @@
   }
   plan.response_prepaid = ResponseEstimate(context);
   const TargetState& state = lease.value().state();
-  plan.may_send = [&state]() { return state.TakesRequests(Clock::now()); };
+  plan.check_target = [&state]() { return CheckTakes(state); };
   plan.on_notice = [this, &delivery, &target](const TargetNotice& notice) {
     ApplyNotice(delivery, target, notice);
   };
--- a/testing/integration/target_notice_test_fleet.cc
+++ b/testing/integration/target_notice_test_fleet.cc
@@ -63,6 +63,7 @@
   int refused() const { return refused_; }
   // Neither answered nor refused with a time to come back.
   int failed() const { return failed_; }
+  std::string last_failure() const { return last_failure_; }
 
  private:
   static constexpr int kCallers = 8;
@@ -77,6 +78,10 @@
       ++refused_;
     } else {
       ++failed_;
+      const std::lock_guard<std::mutex> lock(mutex_);
+      last_failure_ =
+          reply ? fmt::format("{} {}", reply.value().status, reply.value().body)
+                : reply.error().detail;
     }
   }
 
@@ -84,6 +89,8 @@
   std::atomic<int> answered_ = 0;
   std::atomic<int> refused_ = 0;
   std::atomic<int> failed_ = 0;
+  std::mutex mutex_;
+  std::string last_failure_;
   std::vector<std::thread> threads_;
 };
 
@@ -125,7 +132,7 @@
       },
       std::chrono::seconds(5)));
   load.Stop();
-  CAPTURE(load.answered(), load.refused());
+  CAPTURE(load.answered(), load.refused(), load.last_failure());
   CHECK(load.failed() == 0);
   // What is left has room for all.
   CHECK(load.refused() == 0);
@@ -150,7 +157,7 @@
   set_backoffs(1);
   std::this_thread::sleep_for(std::chrono::seconds(4));
   some.Stop();
-  CAPTURE(some.answered());
+  CAPTURE(some.answered(), some.last_failure());
   CHECK(some.refused() == 0);
   CHECK(some.failed() == 0);
   // All: callers are refused at once, with a time to come back.
@@ -158,7 +165,7 @@
   Load all(fleet, "all");
   std::this_thread::sleep_for(std::chrono::seconds(4));
   all.Stop();
-  CAPTURE(all.answered(), all.refused());
+  CAPTURE(all.answered(), all.refused(), all.last_failure());
   CHECK(all.failed() == 0);
   CHECK(all.refused() > 0);
   fleet.OnLoop([&]() {
