Callers of a target that only sheds load return as before

Cause: SpreadReturn was applied to each target that turned a request away, so that callers of one that is merely full for a moment returned after 1 to 2 s instead of 1 s. Change: only a time that targets have asked for is spread; where no other place is left, the refusal is the one that says so.

--- a/src/delivery/internal/request_carrier.cc
+++ b/src/delivery/internal/request_carrier.cc
@@ -212,7 +212,7 @@
       } else if (result.error().errc == Errc::kTargetBackoff &&
                  last.verdict == Verdict::kNotRun) {
         // What was tried says less of when a target takes requests again.
-        last.retry_after = result.error().retry_after;
+        last = result.error();
       }
       break;
     }
@@ -255,7 +255,6 @@
       return RetryAfter(failure.retry_after,
                         delivery.context.deadline - Clock::now(), draw);
     case Errc::kTargetBackoff:
-    case Errc::kTargetShed:
       return SpreadReturn(failure.retry_after, draw);
     default:
       return failure.retry_after;
