--- a/src/delivery/internal/request_carrier.cc
+++ b/src/delivery/internal/request_carrier.cc
@@ -207,11 +207,11 @@
   while (true) {
     const Result<void> result = places_.TryNext(delivery, yield);
     if (delivery.exhausted) {
-      if (delivery.chosen_target.empty()) {
-        last = result.error();
-      } else if (result.error().errc == Errc::kTargetBackoff &&
-                 last.verdict == Verdict::kNotRun) {
-        // What was tried says less of when a target takes requests again.
+      // What was tried says less of when targets take requests again than all
+      // of them asking for time.
+      const bool all_backed_off = result.error().errc == Errc::kTargetBackoff &&
+                                  last.verdict == Verdict::kNotRun;
+      if (delivery.chosen_target.empty() || all_backed_off) {
         last = result.error();
       }
       break;
--- a/testing/integration/target_notice_test_fleet.cc
+++ b/testing/integration/target_notice_test_fleet.cc
@@ -35,7 +35,7 @@
 // Callers that ask all instances in turn, a number of requests a second.
 class Load {
  public:
-  Load(PlatformStandIn& fleet, std::string prefix) {
+  Load(PlatformStandIn& fleet, const std::string& prefix) {
     for (int caller = 0; caller < kCallers; ++caller) {
       threads_.emplace_back([this, &fleet, prefix, caller]() {
         for (int i = 0; !stopped_; ++i) {
