--- a/src/framework/http/tests/http_server_test.cc
+++ b/src/framework/http/tests/http_server_test.cc
@@ -2,13 +2,12 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
-#include <functional>
 #include <vector>
 
 #include "framework/http/http_handler.h"
 #include "framework/http/socket_registry.h"
+#include "framework/kernel/tests/busy_loop.h"
 #include "framework/metrics/metrics.h"
 
 namespace redwing {
@@ -23,8 +22,7 @@
 
 TEST_CASE("a busy event loop accepts many connections in a few turns") {
   constexpr int kConnections = 100;
-  // Other work of each turn, and turns within which all must be accepted.
-  constexpr int kTasks = 200;
+  // Turns within which all must be accepted.
   constexpr int kTurns = 10;
   boost::asio::io_context io;
   SocketRegistry sockets(io);
@@ -37,19 +35,7 @@
     callers.emplace_back(io);
     callers.back().connect(server.local_endpoint());
   }
-  int done = 0;
-  const std::function<void()> task = [&]() {
-    ++done;
-    if (done < kTasks * kTurns) {
-      boost::asio::post(io, task);
-    }
-  };
-  for (int i = 0; i < kTasks; ++i) {
-    boost::asio::post(io, task);
-  }
-  while (done < kTasks * kTurns) {
-    io.run_one();
-  }
+  RunBusyTurns(io, kTurns);
   CHECK(server.connection_count() == kConnections);
   // Sessions must end before what they refer to.
   callers.clear();
--- a/src/framework/peer/tests/socket_peer_transport_test.cc
+++ b/src/framework/peer/tests/socket_peer_transport_test.cc
@@ -1,10 +1,9 @@
 #include "framework/peer/internal/socket_peer_transport.h"
 
-#include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
-#include <functional>
 
 #include "framework/http/socket_registry.h"
+#include "framework/kernel/tests/busy_loop.h"
 #include "framework/metrics/metrics.h"
 #include "framework/settings/endpoint.h"
 
@@ -15,8 +14,7 @@
 
 TEST_CASE("a busy event loop reads many datagrams in a few turns") {
   constexpr int kDatagrams = 100;
-  // Other work of each turn, and turns within which all must be read.
-  constexpr int kTasks = 200;
+  // Turns within which all must be read.
   constexpr int kTurns = 10;
   boost::asio::io_context io;
   SocketRegistry sockets(io);
@@ -34,19 +32,7 @@
     sender.Send(UdpEndpoint(receiver.local_address()), MessageKind::kHeartbeat,
                 "beat");
   }
-  int done = 0;
-  const std::function<void()> task = [&]() {
-    ++done;
-    if (done < kTasks * kTurns) {
-      boost::asio::post(io, task);
-    }
-  };
-  for (int i = 0; i < kTasks; ++i) {
-    boost::asio::post(io, task);
-  }
-  while (done < kTasks * kTurns) {
-    io.run_one();
-  }
+  RunBusyTurns(io, kTurns);
   CHECK(read == kDatagrams);
   sender.Stop();
   receiver.Stop();
