Only instances that serve on out of touch ask members after a pause

Cause: the pulls after a pause were made under both freshness policies. Where out of touch means refusing, freshness is proved by a majority's echoes, and state that comes from three members sooner changes when such an instance serves again, for which there was no reason.

--- a/src/config/internal/config_module.cc
+++ b/src/config/internal/config_module.cc
@@ -61,6 +61,9 @@
   }
   if (serve_on_) {
     serve_on_->Attach(membership);
+    const std::shared_ptr<PeerSync> sync = sync_;
+    membership->on_pause().Subscribe(
+        [sync](const Milliseconds& /*pause*/) { sync->PullAfterPause(); });
   }
 }
 
--- a/src/config/internal/peer_sync.cc
+++ b/src/config/internal/peer_sync.cc
@@ -63,8 +63,6 @@
     NoteHeld();
     ScheduleBeat();
   });
-  membership_->on_pause().Subscribe(
-      [this](const Milliseconds& /*pause*/) { PullAfterPause(); });
   transport_->OnCall(MessageKind::kStatePull, [this](const Envelope& envelope) {
     return AnswerPull(envelope);
   });
--- a/src/config/internal/peer_sync.h
+++ b/src/config/internal/peer_sync.h
@@ -42,6 +42,9 @@
   void Start();
   void Stop();
 
+  // Asks a few members for what changed while the process stood still.
+  void PullAfterPause();
+
   void Withdraw(const Withdrawal& withdrawal) override;
   WithdrawalStatus StatusOf(const std::string& key_id) const override;
 
@@ -58,8 +61,6 @@
   void NoteHeld();
   // Returns whether the peer has answered.
   bool Pull(const std::string& name, const Yield& yield);
-  // Asks a few members for what changed while the process stood still.
-  void PullAfterPause();
   std::string AnswerPull(const Envelope& envelope);
   void HandleWithdrawal(const Envelope& envelope);
   void HandleAck(const Envelope& envelope);
