One piece of code accepts connections for callers and for peers

Change: ConnectionAcceptor, used by both; number a turn, retry time and errors as they were. TargetMemory::size(), which nothing called, is gone. Behaviour stays. Checks: unit tests of http, peer, routing, config and delivery; http, platform, late_change and config fleet tests, at once: passed. Format, and the linter on the three changed source files: clean.

--- a/src/framework/http/http_server.h
+++ b/src/framework/http/http_server.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <unordered_set>
 
+#include "framework/http/connection_acceptor.h"
 #include "framework/http/http_handler.h"
 #include "framework/kernel/clock.h"
 
@@ -65,12 +66,6 @@
   friend class HttpSession;
 
   // Waits for connections and accepts them.
-  void Accept();
-  // Accepts what waits, up to a number. Returns false when the system has no
-  // room for more.
-  bool AcceptWaiting();
-  // Out of descriptors, most likely: gives running work time to end.
-  void AcceptLater();
   void Serve(boost::asio::ip::tcp::socket socket);
   void Remove(HttpSession* session);
 
@@ -79,7 +74,7 @@
   Metrics& metrics_;
   HttpHandler& handler_;
   HttpServerLimits limits_;
-  boost::asio::ip::tcp::acceptor acceptor_;
+  ConnectionAcceptor acceptor_;
   std::unordered_set<HttpSession*> sessions_;
   bool closing_ = false;
   bool draining_ = false;
--- a/src/framework/peer/internal/socket_peer_transport.cc
+++ b/src/framework/peer/internal/socket_peer_transport.cc
@@ -7,7 +7,6 @@
 #include "framework/http/socket_registry.h"
 #include "framework/http/timed_socket.h"
 #include "framework/kernel/spawn.h"
-#include "framework/kernel/timer.h"
 #include "framework/metrics/metrics.h"
 #include "framework/settings/endpoint.h"
 #include "framework/wire/digest.h"
@@ -24,10 +23,9 @@
 constexpr size_t kNonceText = kNonceBytes * 2;
 constexpr int kListenAttempts = 16;
 constexpr int kReceiveBuffer = 1024 * 1024;  // bytes
-// Datagrams read, and connections accepted, in one turn of the event loop. With
-// one a turn, busy loops would hear of their peers seconds late.
+// Datagrams read in one turn of the event loop. With one a turn, busy loops
+// would hear of their peers seconds late.
 constexpr int kReadsAtOnce = 64;
-constexpr Milliseconds kAcceptRetry{50};
 
 // Incarnations grow from one start of an instance to the next while its clock
 // does; where it went back, peers answer with the incarnation they have seen.
@@ -83,7 +81,7 @@
       own_name_(std::move(own_name)),
       codec_(std::move(secrets)),
       socket_(io),
-      acceptor_(io),
+      acceptor_(io, [this](tcp::socket socket) { Serve(std::move(socket)); }),
       incarnation_(StartIncarnation()) {}
 
 SocketPeerTransport::~SocketPeerTransport() = default;
@@ -94,7 +92,7 @@
   for (int attempt = 1; !TryListen(endpoint, attempt == attempts); ++attempt) {
   }
   Receive();
-  Accept();
+  acceptor_.Start();
 }
 
 bool SocketPeerTransport::TryListen(const udp::endpoint& endpoint,
@@ -106,13 +104,13 @@
   socket_.non_blocking(true);
   const tcp::endpoint tcp_endpoint(endpoint.address(),
                                    socket_.local_endpoint().port());
-  acceptor_.open(tcp_endpoint.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.socket().open(tcp_endpoint.protocol());
+  acceptor_.socket().set_option(tcp::acceptor::reuse_address(true));
   boost::system::error_code ec;
-  acceptor_.bind(tcp_endpoint, ec);
-  acceptor_.non_blocking(true);
+  acceptor_.socket().bind(tcp_endpoint, ec);
   if (!ec) {
-    acceptor_.listen(boost::asio::socket_base::max_listen_connections, ec);
+    acceptor_.socket().listen(boost::asio::socket_base::max_listen_connections,
+                              ec);
   }
   if (!ec) {
     return true;
@@ -127,7 +125,7 @@
 void SocketPeerTransport::Stop() {
   boost::system::error_code ignored;
   socket_.close(ignored);
-  acceptor_.close(ignored);
+  acceptor_.socket().close(ignored);
 }
 
 void SocketPeerTransport::OnDatagram(MessageKind kind,
@@ -193,7 +191,7 @@
 }
 
 std::string SocketPeerTransport::local_address() const {
-  return FormatEndpoint(acceptor_.local_endpoint());
+  return FormatEndpoint(acceptor_.socket().local_endpoint());
 }
 
 Envelope SocketPeerTransport::Wrap(MessageKind kind, std::string payload) {
@@ -252,43 +250,11 @@
   handler->second(message, from_);
 }
 
-void SocketPeerTransport::Accept() {
-  acceptor_.async_wait(tcp::acceptor::wait_read,
-                       [this](const boost::system::error_code& /*ec*/) {
-                         if (acceptor_.is_open()) {
-                           AcceptWaiting();
-                         }
-                       });
-}
-
-void SocketPeerTransport::AcceptWaiting() {
-  boost::system::error_code ec;
-  for (int i = 0; i < kReadsAtOnce; ++i) {
-    tcp::socket accepted(io_);
-    acceptor_.accept(accepted, ec);
-    if (ec) {
-      break;
-    }
-    const std::shared_ptr<TimedSocket> socket =
-        std::make_shared<TimedSocket>(sockets_, std::move(accepted));
-    socket->ExpiresAfter(kServeTimeout);
-    Spawn(io_,
-          [this, socket](const Yield& yield) { ServeCall(*socket, yield); });
-  }
-  if (!ec || ec == boost::asio::error::would_block ||
-      ec == boost::asio::error::connection_aborted) {
-    Accept();
-    return;
-  }
-  // Without descriptors the connection stays in the backlog; at once the wait
-  // would end again.
-  const std::shared_ptr<Timer> timer = std::make_shared<Timer>(io_);
-  timer->expires_after(kAcceptRetry);
-  timer->async_wait([this, timer](const boost::system::error_code& failed) {
-    if (!failed && acceptor_.is_open()) {
-      Accept();
-    }
-  });
+void SocketPeerTransport::Serve(tcp::socket accepted) {
+  const std::shared_ptr<TimedSocket> socket =
+      std::make_shared<TimedSocket>(sockets_, std::move(accepted));
+  socket->ExpiresAfter(kServeTimeout);
+  Spawn(io_, [this, socket](const Yield& yield) { ServeCall(*socket, yield); });
 }
 
 void SocketPeerTransport::ServeCall(TimedSocket& socket, const Yield& yield) {
--- a/src/framework/peer/internal/socket_peer_transport.h
+++ b/src/framework/peer/internal/socket_peer_transport.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <vector>
 
+#include "framework/http/connection_acceptor.h"
 #include "framework/peer/peer_transport.h"
 #include "framework/wire/envelope_codec.h"
 #include "framework/wire/replay_window.h"
@@ -55,9 +56,7 @@
   // Handles the datagrams that wait.
   void ReadWaiting();
   void HandleDatagram(std::string_view bytes);
-  void Accept();
-  // Accepts the connections that wait.
-  void AcceptWaiting();
+  void Serve(boost::asio::ip::tcp::socket accepted);
   void ServeCall(TimedSocket& socket, const Yield& yield);
   void CountDropped(std::string_view reason);
 
@@ -67,7 +66,7 @@
   std::string own_name_;
   EnvelopeCodec codec_;
   boost::asio::ip::udp::socket socket_;
-  boost::asio::ip::tcp::acceptor acceptor_;
+  ConnectionAcceptor acceptor_;
   boost::asio::ip::udp::endpoint from_;
   std::array<char, kMaxDatagram> buffer_{};
   std::map<MessageKind, DatagramHandler> datagram_handlers_;
--- a/src/routing/target_memory.h
+++ b/src/routing/target_memory.h
@@ -71,7 +71,6 @@
   }
 
   bool empty() const { return records_.empty(); }
-  size_t size() const { return records_.size(); }
 
  private:
   struct Record {
