A request that is sent late pays its budgets again

Cause: a request pays when it gets a slot, and is sent once a connection to its target is there. Connecting may take 1.5 s, and the instance may stand still between the two; then what was paid long ago reaches the target together with what others have been given since. Change: Reservation::Renew(), asked just before sending. An instance that is out of touch spends nothing.

--- a/src/budget/internal/share_budgets.cc
+++ b/src/budget/internal/share_budgets.cc
@@ -18,12 +18,6 @@
 constexpr Milliseconds kTickInterval{20};
 constexpr Milliseconds kIdleTime{5000};
 
-Failure StaleFailure() {
-  return NotRun(Errc::kStale,
-                "this instance has lost touch with the rest of the fleet",
-                Milliseconds(1000));
-}
-
 }  // namespace
 
 ShareBudgets::ShareBudgets(boost::asio::io_context& io,
@@ -75,10 +69,13 @@
     bool allow_stale) {
   const TimePoint now = Clock::now();
   if (!allow_stale && !freshness_->IsFresh(now)) {
-    return StaleFailure();
+    return OutOfTouch();
   }
   std::unique_ptr<ShareReservation> reservation =
-      std::make_unique<ShareReservation>();
+      std::make_unique<ShareReservation>(
+          options_.payment_lifetime, [this, allow_stale](TimePoint time) {
+            return allow_stale || freshness_->IsFresh(time);
+          });
   for (const Charge& charge : charges) {
     const auto found = accounts_.find(charge.budget);
     if (found == accounts_.end()) {
@@ -103,7 +100,7 @@
                                    const Yield& yield) {
   const TimePoint now = Clock::now();
   if (!allow_stale && !freshness_->IsFresh(now)) {
-    return StaleFailure();
+    return OutOfTouch();
   }
   const auto found = accounts_.find(charge.budget);
   if (found == accounts_.end()) {
--- a/src/budget/internal/share_reservation.h
+++ b/src/budget/internal/share_reservation.h
@@ -1,20 +1,27 @@
 #ifndef REDWING_BUDGET_INTERNAL_SHARE_RESERVATION_H_
 #define REDWING_BUDGET_INTERNAL_SHARE_RESERVATION_H_
 
+#include <functional>
 #include <vector>
 
 #include "budget/charge.h"
 #include "budget/reservation.h"
+#include "framework/errors/failure.h"
 
 namespace redwing {
 
 struct BudgetAccount;
 
+// Fails with kStale: this instance's shares may have passed to others.
+Failure OutOfTouch();
+
 // A reservation against accounts of this instance. Accounts live as long as
 // the process.
 class ShareReservation : public Reservation {
  public:
-  ShareReservation() = default;
+  // `may_spend` tells whether this instance's shares are still its own.
+  ShareReservation(Milliseconds payment_lifetime,
+                   std::function<bool(TimePoint)> may_spend);
   ~ShareReservation() override;
   ShareReservation(const ShareReservation&) = delete;
   ShareReservation& operator=(const ShareReservation&) = delete;
@@ -22,8 +29,9 @@
   // Announces a charge to its account.
   void Add(BudgetAccount& account, const Charge& charge);
 
-  bool TryPay() override;
-  Failure Refuse() override;
+  bool TryPay(TimePoint now) override;
+  Result<void> Renew(TimePoint now) override;
+  Failure Refuse(TimePoint now) override;
 
  private:
   struct Part {
@@ -33,7 +41,12 @@
 
   void Withdraw();
 
+  Milliseconds payment_lifetime_;
+  std::function<bool(TimePoint)> may_spend_;
   std::vector<Part> parts_;
+  // Whether the accounts count on the parts being paid.
+  bool announced_ = true;
+  TimePoint paid_at_;
 };
 
 }  // namespace redwing
--- a/src/delivery/internal/upstream_attempt.cc
+++ b/src/delivery/internal/upstream_attempt.cc
@@ -46,11 +46,11 @@
     pool_.Release(plan_.endpoint, connection_);
     return NotRun(Errc::kCallerGone, "caller is gone");
   }
-  const Result<void> takes =
-      plan_.check_target ? plan_.check_target() : boost::outcome_v2::success();
-  if (!takes) {
+  const Result<void> may_send =
+      plan_.before_send ? plan_.before_send() : boost::outcome_v2::success();
+  if (!may_send) {
     pool_.Release(plan_.endpoint, connection_);
-    return takes;
+    return may_send;
   }
   const std::weak_ptr<HttpConnection> weak = connection_;
   cancellation.SetHandler([weak]() {
--- a/src/delivery/internal/upstream_attempt.h
+++ b/src/delivery/internal/upstream_attempt.h
@@ -51,7 +51,7 @@
   bool runs_once = false;
   // Asked once a connection is there: fails with kNotRun when the request is
   // not to be sent any more. None: it is sent.
-  std::function<Result<void>()> check_target;
+  std::function<Result<void>()> before_send;
   // Called with what a target's answer says of the target, before anything of
   // the answer is handed on.
   std::function<void(const TargetNotice&)> on_notice;
--- a/src/delivery/internal/upstream_sender.cc
+++ b/src/delivery/internal/upstream_sender.cc
@@ -100,7 +100,15 @@
 Result<void> UpstreamSender::SendToTarget(Delivery& delivery,
                                           const Yield& yield) {
   const RequestContext& context = delivery.context;
-  Result<TargetLease> lease = AcquireSlot(delivery, yield);
+  const Result<std::unique_ptr<Reservation>> reserved =
+      services_.budgets->Reserve(LocalCharges(context), context.deadline,
+                                 context.allow_stale());
+  if (!reserved) {
+    delivery.tried_regions.insert(services_.identity->region);
+    return reserved.error();
+  }
+  Reservation& reservation = *reserved.value();
+  Result<TargetLease> lease = AcquireSlot(delivery, reservation, yield);
   if (!lease) {
     delivery.tried_regions.insert(services_.identity->region);
     return lease.error();
@@ -123,7 +131,16 @@
   }
   plan.response_prepaid = ResponseEstimate(context);
   const TargetState& state = lease.value().state();
-  plan.check_target = [&state]() { return CheckTakes(state); };
+  bool unpaid = false;
+  plan.before_send = [&state, &reservation, &unpaid]() {
+    const Result<void> takes = CheckTakes(state);
+    if (!takes) {
+      return takes;
+    }
+    const Result<void> paid = reservation.Renew(Clock::now());
+    unpaid = !paid;
+    return paid;
+  };
   plan.on_notice = [this, &delivery, &target](const TargetNotice& notice) {
     ApplyNotice(delivery, target, notice);
   };
@@ -144,7 +161,7 @@
                   attempt.load() ? fmt::format("{}+{}", attempt.load()->running,
                                                attempt.load()->waiting)
                                  : "unknown"));
-  if (!result && IsRefusedBeforeSending(result.error().errc)) {
+  if (unpaid || (!result && IsRefusedBeforeSending(result.error().errc))) {
     --delivery.sent;
   }
   if (attempt.load()) {
@@ -243,14 +260,9 @@
 }
 
 Result<TargetLease> UpstreamSender::AcquireSlot(const Delivery& delivery,
+                                                Reservation& reservation,
                                                 const Yield& yield) {
   const RequestContext& context = delivery.context;
-  Result<std::unique_ptr<Reservation>> reserved = services_.budgets->Reserve(
-      LocalCharges(context), context.deadline, context.allow_stale());
-  if (!reserved) {
-    return reserved.error();
-  }
-  Reservation& reservation = *reserved.value();
   SlotRequest wanted;
   wanted.service = context.service->name;
   wanted.workspace = context.workspace_name();
@@ -268,10 +280,10 @@
     wanted.exclude = delivery.tried_targets;
   }
   wanted.avoid_failure_domain = delivery.last_failure_domain;
-  wanted.pay = [&reservation]() { return reservation.TryPay(); };
+  wanted.pay = [&reservation]() { return reservation.TryPay(Clock::now()); };
   Result<TargetLease> lease = services_.router->AcquireSlot(wanted, yield);
   if (!lease && lease.error().errc == Errc::kRateExceeded) {
-    return reservation.Refuse();
+    return reservation.Refuse(Clock::now());
   }
   return lease;
 }
--- a/src/delivery/internal/upstream_sender.h
+++ b/src/delivery/internal/upstream_sender.h
@@ -18,6 +18,7 @@
 class Metrics;
 class RequestAdmitter;
 class RequestTrail;
+class Reservation;
 class SocketRegistry;
 struct CarrierServices;
 struct Delivery;
@@ -58,7 +59,9 @@
   WaitRequest WaitRequestOf(const RequestContext& context) const;
 
  private:
-  Result<TargetLease> AcquireSlot(const Delivery& delivery, const Yield& yield);
+  Result<TargetLease> AcquireSlot(const Delivery& delivery,
+                                  Reservation& reservation,
+                                  const Yield& yield);
   // Lists what a request pays when it goes to a target of this region. It pays
   // there and then, whichever entry the caller used: what a caller's entry had
   // paid for could arrive in a bunch.
