Overruns are told from stalls of the stand-ins that stamp the runs

Trace: all targets are one process behind one proxy. So one stall of the stand-in's processor of some 200 ms is enough, and instances' lag is not. The next failure will have one. Change: the stand-ins record when their event loop stood still for over 20 ms (what bursts leave room for). A run stamped at the end of such a stall may have come since its beginning; the bound stays.

--- a/testing/fake_target/fake_target.cc
+++ b/testing/fake_target/fake_target.cc
@@ -70,7 +70,8 @@
     : kernel_(kernel),
       sockets_(kernel.io()),
       random_(static_cast<uint64_t>(settings.Integer("seed", 0, INT64_MAX, 1))),
-      started_(Clock::now()) {
+      started_(Clock::now()),
+      stalls_(kernel.io()) {
   settings.Objects("targets", [this](ObjectReader& item) {
     const std::string name = item.String("name");
     const std::string listen = item.Endpoint("listen");
@@ -87,6 +88,7 @@
     site->Listen();
     addresses[site->name()] = site->address();
   }
+  stalls_.Start();
   Announce(addresses);
 }
 
@@ -154,6 +156,13 @@
     SendJson(exchange, 200, runs, yield);
     return;
   }
+  if (action == "stalls") {
+    SendJson(exchange, 200,
+             {{"started_us", MicrosecondsOf(owner_.started())},
+              {"stalls", owner_.stalls().ToJson()}},
+             yield);
+    return;
+  }
   const json body = ReadControl(exchange, yield);
   if (body.value("all", false)) {
     for (const std::unique_ptr<FakeTargetSite>& site : owner_.sites()) {
--- a/testing/fake_target/fake_target.h
+++ b/testing/fake_target/fake_target.h
@@ -14,6 +14,7 @@
 #include "framework/kernel/kernel.h"
 #include "framework/metrics/metrics.h"
 #include "framework/settings/object_reader.h"
+#include "testing/stall_recorder.h"
 
 namespace redwing::testing {
 
@@ -62,6 +63,7 @@
   std::vector<TargetRun>& runs() { return runs_; }
   std::vector<std::unique_ptr<FakeTargetSite>>& sites() { return sites_; }
   TimePoint started() const { return started_; }
+  const StallRecorder& stalls() const { return stalls_; }
   std::mt19937_64& random() { return random_; }
 
  private:
@@ -72,6 +74,7 @@
   SocketRegistry sockets_;
   std::mt19937_64 random_;
   TimePoint started_;
+  StallRecorder stalls_;
   std::vector<TargetRun> runs_;
   std::vector<std::unique_ptr<FakeTargetSite>> sites_;
 };
--- a/testing/fault_proxy/fault_proxy.cc
+++ b/testing/fault_proxy/fault_proxy.cc
@@ -40,12 +40,14 @@
       server_(kernel.io(), sockets_, metrics_, *this, HttpServerLimits()),
       listen_(settings.Endpoint("listen")),
       random_(static_cast<uint64_t>(settings.Integer("seed", 0, INT64_MAX, 1))),
-      started_(Clock::now()) {}
+      started_(Clock::now()),
+      stalls_(kernel.io()) {}
 
 FaultProxy::~FaultProxy() = default;
 
 void FaultProxy::Listen() {
   server_.Listen(TcpEndpoint(listen_));
+  stalls_.Start();
   Announce({{"http", FormatEndpoint(server_.local_endpoint())}});
 }
 
@@ -55,6 +57,10 @@
     SendJson(exchange, 200, Meters(), yield);
     return;
   }
+  if (target == "/_control/stalls") {
+    SendJson(exchange, 200, {{"stalls", stalls_.ToJson()}}, yield);
+    return;
+  }
   const json body = ReadControl(exchange, yield);
   if (target == "/_control/link" && body.is_object()) {
     SendJson(exchange, 200, AddLink(body), yield);
--- a/testing/fault_proxy/fault_proxy.h
+++ b/testing/fault_proxy/fault_proxy.h
@@ -18,6 +18,7 @@
 #include "framework/kernel/kernel.h"
 #include "framework/metrics/metrics.h"
 #include "framework/settings/object_reader.h"
+#include "testing/stall_recorder.h"
 
 namespace redwing::testing {
 
@@ -98,6 +99,7 @@
   std::string listen_;
   std::mt19937_64 random_;
   TimePoint started_;
+  StallRecorder stalls_;
   std::map<Pair, FaultRule> rules_;
   std::map<Pair, TimePoint> line_free_;
   std::map<Pair, Meter> meters_;
--- a/testing/harness/fleet.h
+++ b/testing/harness/fleet.h
@@ -9,6 +9,7 @@
 
 #include "framework/kernel/clock.h"
 #include "testing/harness/process.h"
+#include "testing/harness/windows.h"
 
 namespace redwing::testing {
 
@@ -118,6 +119,9 @@
 
   // Runs at targets: [[at_us, target, token, workspace, key_seen, finished]].
   nlohmann::json Runs() const;
+  // Times at which the targets' process or the proxy before them stood still,
+  // on the clock of the runs.
+  std::vector<Stall> Stalls() const;
   nlohmann::json StatusOf(const FleetEntry& entry) const;
   // Makes a signed call of an entry, as redwing-admin does.
   nlohmann::json CallInternal(const FleetEntry& entry,
--- a/testing/harness/windows.h
+++ b/testing/harness/windows.h
@@ -16,11 +16,23 @@
 std::vector<double> ArrivalTimes(const nlohmann::json& runs,
                                  const std::string& workspace);
 
+// A time, in seconds, during which what stamps the runs stood still, or what
+// lies before it.
+struct Stall {
+  double begun = 0;
+  double ended = 0;
+};
+
 // Returns by how many requests the worst window, of whatever length, exceeds
-// rate x length + burst; negative when none does.
+// rate x length + burst; negative when none does. What is stamped at the end of
+// a stall may have come at any time since its beginning.
 double WorstOverrun(const std::vector<double>& times,
                     double rate,
-                    double burst);
+                    double burst,
+                    const std::vector<Stall>& stalls = {});
+
+// Returns the length of the longest stall, in seconds.
+double LongestStall(const std::vector<Stall>& stalls);
 
 // Largest number of bytes over any second of a meter that counts in tenths.
 double WorstSecond(const nlohmann::json& tenths);
