--- a/testing/integration/target_notice_test_fleet.cc
+++ b/testing/integration/target_notice_test_fleet.cc
@@ -22,6 +22,8 @@
 constexpr Milliseconds kStartLimit{15'000};
 // Time within which requests may still reach a target that leaves.
 constexpr Milliseconds kDrain{2'500};
+// Of the route that is asked, in PlatformStandIn::Manifest().
+constexpr Milliseconds kTargetLatency{500};
 // Requests that may reach a target inside a time that it has asked for.
 constexpr int kMostInsideBackoff = 2;
 
@@ -39,8 +41,10 @@
     for (int caller = 0; caller < kCallers; ++caller) {
       threads_.emplace_back([this, &fleet, prefix, caller]() {
         for (int i = 0; !stopped_; ++i) {
+          const TimePoint sent = Clock::now();
           Note(fleet.Send((caller + i) % kInstances,
-                          fmt::format("{}-{}-{}", prefix, caller, i)));
+                          fmt::format("{}-{}-{}", prefix, caller, i)),
+               sent);
           std::this_thread::sleep_for(kPause);
         }
       });
@@ -63,15 +67,20 @@
   int refused() const { return refused_; }
   // Neither answered nor refused with a time to come back.
   int failed() const { return failed_; }
+  // The part of all requests that was answered within the target latency.
+  double PartInTime() const {
+    return static_cast<double>(in_time_) / (answered_ + refused_ + failed_);
+  }
   std::string last_failure() const { return last_failure_; }
 
  private:
   static constexpr int kCallers = 8;
   static constexpr Milliseconds kPause{60};
 
-  void Note(const Result<HttpReply>& reply) {
+  void Note(const Result<HttpReply>& reply, TimePoint sent) {
     if (reply && reply.value().status == 200) {
       ++answered_;
+      in_time_ += Clock::now() - sent <= kTargetLatency ? 1 : 0;
     } else if (reply && reply.value().status == 503 &&
                ParseRetryAfter(
                    StdView(reply.value().header[http::field::retry_after]))) {
@@ -87,6 +96,7 @@
 
   std::atomic<bool> stopped_ = false;
   std::atomic<int> answered_ = 0;
+  std::atomic<int> in_time_ = 0;
   std::atomic<int> refused_ = 0;
   std::atomic<int> failed_ = 0;
   std::mutex mutex_;
@@ -138,6 +148,45 @@
   CHECK(load.refused() == 0);
 }
 
+// Replaces all targets, one after the other, under load; they say in their
+// answers that they leave, or only in the list. Returns the part of the
+// requests that was answered in time.
+double PartInTimeDuringRelease(bool announced) {
+  constexpr Milliseconds kServesOn{800};
+  constexpr Milliseconds kPauseBetween{700};
+  constexpr int64_t kNewStart = 2'000;
+  PlatformStandIn fleet(kInstances);
+  REQUIRE(fleet.AwaitReady(kStartLimit));
+  Load load(fleet, announced ? "announced" : "listed");
+  std::this_thread::sleep_for(kPauseBetween);
+  for (size_t i = 0; i < fleet.target_count(); ++i) {
+    fleet.OnLoop([&]() {
+      fleet.target(i).SetLeaving(announced);
+      fleet.List(i, "draining");
+    });
+    std::this_thread::sleep_for(kServesOn);
+    fleet.OnLoop([&]() {
+      fleet.target(i).SetLeaving(false);
+      fleet.List(i, "ready", "svc", kNewStart);
+    });
+    std::this_thread::sleep_for(kPauseBetween);
+  }
+  load.Stop();
+  CAPTURE(announced, load.answered(), load.refused(), load.last_failure());
+  CHECK(load.failed() == 0);
+  return load.PartInTime();
+}
+
+TEST_CASE(
+    "a release whose targets say that they leave serves as many in time") {
+  // A single request may be late for want of a processor.
+  constexpr double kNoise = 0.01;
+  const double listed = PartInTimeDuringRelease(/*announced=*/false);
+  const double announced = PartInTimeDuringRelease(/*announced=*/true);
+  CAPTURE(listed, announced);
+  CHECK(announced >= listed - kNoise);
+}
+
 TEST_CASE("targets that want nothing for a while get nothing") {
   const int seed = GENERATE(range(1, SeedCount() + 1));
   CAPTURE(seed);
