A busy instance's requests do not pay twice

Seen: one run of budget_test_fleet at load average 20 to 29: "a workspace inside its rate" refused 0.066 of its requests, 0.01 allowed. Change: payments end after 500 ms everywhere. What ends them is a pause or a connection that takes long, not the lag of an event loop, which bursts leave 20 ms for.

--- a/src/budget/budget_options.h
+++ b/src/budget/budget_options.h
@@ -20,8 +20,9 @@
   // Requests reach their targets up to this much closer together than they were
   // admitted. Bursts leave room for that.
   Milliseconds passage_spread{20};
-  // What was paid for and not sent for longer pays again.
-  Milliseconds payment_lifetime{20};
+  // What was paid for and not sent for longer pays again. Above the lag of a
+  // busy instance, whose requests would pay twice.
+  Milliseconds payment_lifetime{500};
 };
 
 }  // namespace redwing
