Retries at a service stay within the part of its requests

Ruled out: retries that are not charged (refusals before sending): attempts that were not sent are not among them. Change: RetryBudget keeps each service apart.

--- a/src/delivery/internal/request_carrier.cc
+++ b/src/delivery/internal/request_carrier.cc
@@ -14,6 +14,7 @@
 #include "framework/log/log.h"
 #include "framework/metrics/metrics.h"
 #include "keys/key_ring.h"
+#include "membership/membership.h"
 
 namespace redwing {
 
@@ -177,7 +178,8 @@
   if (!read) {
     return read.error();
   }
-  retry_budget_.CountRequest();
+  retry_budget_.CountRequest(context.service->name, context.forwarded(),
+                             services_.membership->members().size() + 1);
   Delivery delivery(context, body, exchange);
   if (keyed) {
     const Result<void> result = keyed_.Carry(delivery, yield);
@@ -265,7 +267,7 @@
   return delivery.answer &&
          delivery.answer->header.result_int() >= kFirstServerError &&
          delivery.context.route->idempotent && delivery.CanRepeat() &&
-         retry_budget_.TrySpend();
+         retry_budget_.TrySpend(delivery.context.service->name);
 }
 
 bool RequestCarrier::MayTryAgain(const Delivery& delivery,
@@ -278,7 +280,8 @@
   if (IsRefusedBeforeSending(failure.errc)) {
     return true;
   }
-  return IsWorthRetry(failure.errc) && retry_budget_.TrySpend();
+  return IsWorthRetry(failure.errc) &&
+         retry_budget_.TrySpend(delivery.context.service->name);
 }
 
 void RequestCarrier::LogOutcome(const Delivery& delivery,
--- a/src/delivery/retry_options.h
+++ b/src/delivery/retry_options.h
@@ -3,11 +3,18 @@
 
 namespace redwing {
 
-// Bounds of further tries by one instance.
+// Bounds of further tries at a service.
 struct RetryOptions {
+  // For each request that a caller sends to an instance.
   double retries_per_request = 0.2;
-  // Retries that can be saved up, and with which an instance starts.
+  // For each request that another instance hands to it. That one may retry as
+  // well, so both together are what a request may cost.
+  double retries_per_forward = 0.2;
+  // Retries that an instance starts with and can save up.
   double max_saved = 50;
+  // What all instances together may save up: none saves more than its part.
+  // None: not bounded.
+  double max_saved_by_all = 0;
 };
 
 }  // namespace redwing
