--- a/testing/harness/fleet.cc
+++ b/testing/harness/fleet.cc
@@ -238,22 +238,9 @@
 }
 
 std::vector<Stall> Fleet::Stalls() const {
-  constexpr double kMicrosecondsPerSecond = 1e6;
-  const json at_targets =
-      CallJson(http::verb::get, targets(), "/_control/stalls");
-  const json at_proxy =
-      CallJson(http::verb::get, proxy_address_, "/_control/stalls");
-  const double started = at_targets.at("started_us");
-  std::vector<Stall> stalls;
-  for (const json& reply : {at_targets, at_proxy}) {
-    for (const json& stall : reply.at("stalls")) {
-      const double begun = stall.at(0);
-      const double ended = stall.at(1);
-      stalls.push_back({(begun - started) / kMicrosecondsPerSecond,
-                        (ended - started) / kMicrosecondsPerSecond});
-    }
-  }
-  return stalls;
+  return ReadStalls(
+      CallJson(http::verb::get, targets(), "/_control/stalls"),
+      CallJson(http::verb::get, proxy_address_, "/_control/stalls"));
 }
 
 json Fleet::StatusOf(const FleetEntry& entry) const {
--- a/testing/harness/windows.cc
+++ b/testing/harness/windows.cc
@@ -10,11 +10,11 @@
 constexpr size_t kRunAt = 0;
 constexpr size_t kRunWorkspace = 3;
 constexpr size_t kRunArrived = 6;
+constexpr double kMicrosecondsPerSecond = 1e6;
 
 std::vector<double> TimesOf(const nlohmann::json& runs,
                             const std::string& workspace,
                             size_t field) {
-  constexpr double kMicrosecondsPerSecond = 1e6;
   std::vector<double> times;
   for (const nlohmann::json& run : runs) {
     if (run.at(kRunWorkspace) == workspace) {
@@ -49,6 +49,21 @@
   return TimesOf(runs, workspace, kRunArrived);
 }
 
+std::vector<Stall> ReadStalls(const nlohmann::json& at_targets,
+                              const nlohmann::json& at_proxy) {
+  const double started = at_targets.at("started_us");
+  std::vector<Stall> stalls;
+  for (const nlohmann::json* const reply : {&at_targets, &at_proxy}) {
+    for (const nlohmann::json& stall : reply->at("stalls")) {
+      const double begun = stall.at(0);
+      const double ended = stall.at(1);
+      stalls.push_back({(begun - started) / kMicrosecondsPerSecond,
+                        (ended - started) / kMicrosecondsPerSecond});
+    }
+  }
+  return stalls;
+}
+
 double WorstOverrun(const std::vector<double>& times,
                     double rate,
                     double burst,
--- a/testing/harness/windows.h
+++ b/testing/harness/windows.h
@@ -23,6 +23,11 @@
   double ended = 0;
 };
 
+// Reads the stalls that the targets' process and the proxy tell of, on the
+// clock of the runs.
+std::vector<Stall> ReadStalls(const nlohmann::json& at_targets,
+                              const nlohmann::json& at_proxy);
+
 // Returns by how many requests the worst window, of whatever length, exceeds
 // rate x length + burst; negative when none does. What is stamped at the end of
 // a stall may have come at any time since its beginning.
