Whether an instance may spend its shares is asked in one place

The test for touch stood three times in ShareBudgets since payments are renewed; HttpServer's header kept a comment on accepting above a function that serves. Change: ShareBudgets::MaySpend(), called by Reserve(), Acquire() and the reservation; the comment. Behaviour stays.

--- a/src/budget/internal/share_budgets.cc
+++ b/src/budget/internal/share_budgets.cc
@@ -68,14 +68,14 @@
     TimePoint deadline,
     bool allow_stale) {
   const TimePoint now = Clock::now();
-  if (!allow_stale && !freshness_->IsFresh(now)) {
+  if (!MaySpend(allow_stale, now)) {
     return OutOfTouch();
   }
   std::unique_ptr<ShareReservation> reservation =
-      std::make_unique<ShareReservation>(
-          options_.payment_lifetime, [this, allow_stale](TimePoint time) {
-            return allow_stale || freshness_->IsFresh(time);
-          });
+      std::make_unique<ShareReservation>(options_.payment_lifetime,
+                                         [this, allow_stale](TimePoint time) {
+                                           return MaySpend(allow_stale, time);
+                                         });
   for (const Charge& charge : charges) {
     const auto found = accounts_.find(charge.budget);
     if (found == accounts_.end()) {
@@ -99,7 +99,7 @@
                                    bool allow_stale,
                                    const Yield& yield) {
   const TimePoint now = Clock::now();
-  if (!allow_stale && !freshness_->IsFresh(now)) {
+  if (!MaySpend(allow_stale, now)) {
     return OutOfTouch();
   }
   const auto found = accounts_.find(charge.budget);
@@ -156,6 +156,10 @@
   return list;
 }
 
+bool ShareBudgets::MaySpend(bool allow_stale, TimePoint now) const {
+  return allow_stale || freshness_->IsFresh(now);
+}
+
 void ShareBudgets::ApplyDocument() {
   const TimePoint now = Clock::now();
   for (const BudgetSpec& spec :
--- a/src/budget/internal/share_budgets.h
+++ b/src/budget/internal/share_budgets.h
@@ -76,6 +76,8 @@
                 TimePoint now);
   // Gets tokens from elsewhere where those held here do not suffice.
   void Refill(const std::string& name, BudgetAccount& account, TimePoint now);
+  // Returns whether this instance's shares are still its own.
+  bool MaySpend(bool allow_stale, TimePoint now) const;
   // Takes a charge into the demand; fails where its queue is too long already.
   Result<void> Announce(const std::string& name,
                         BudgetAccount& account,
--- a/src/framework/http/http_server.h
+++ b/src/framework/http/http_server.h
@@ -65,7 +65,7 @@
  private:
   friend class HttpSession;
 
-  // Waits for connections and accepts them.
+  // Serves a connection that has been accepted.
   void Serve(boost::asio::ip::tcp::socket socket);
   void Remove(HttpSession* session);
 
