--- a/testing/integration/target_notice_test_fleet.cc
+++ b/testing/integration/target_notice_test_fleet.cc
@@ -1,113 +1,30 @@
 // What targets say of themselves in their answers, under load: that they leave,
 // and that they want nothing for a while.
 
-#include <fmt/format.h>
-
-#include <atomic>
 #include <catch2/catch.hpp>
-#include <cstdlib>
-#include <mutex>
 #include <random>
 #include <thread>
 #include <vector>
 
-#include "framework/http/retry_after.h"
 #include "testing/harness/sync_client.h"
+#include "testing/integration/platform_load.h"
 #include "testing/platform_stand_in/platform_stand_in.h"
 
 namespace redwing::testing {
 namespace {
 
 constexpr int kInstances = 4;
+const std::vector<int> kAllInstances = {0, 1, 2, 3};
 constexpr Milliseconds kStartLimit{15'000};
 // Time within which requests may still reach a target that leaves.
 constexpr Milliseconds kDrain{2'500};
-// Of the route that is asked, in PlatformStandIn::Manifest().
-constexpr Milliseconds kTargetLatency{500};
 // Requests that may reach a target inside a time that it has asked for.
 constexpr int kMostInsideBackoff = 2;
 
-// Runs of the seeded case: two in CI, more by hand with REDWING_SEEDS.
-int SeedCount() {
-  constexpr int kInCi = 2;
-  const char* const text = std::getenv("REDWING_SEEDS");
-  return text == nullptr ? kInCi : std::max(1, std::atoi(text));
-}
-
-// Callers that ask all instances in turn, a number of requests a second.
-class Load {
- public:
-  Load(PlatformStandIn& fleet, const std::string& prefix) {
-    for (int caller = 0; caller < kCallers; ++caller) {
-      threads_.emplace_back([this, &fleet, prefix, caller]() {
-        for (int i = 0; !stopped_; ++i) {
-          const TimePoint sent = Clock::now();
-          Note(fleet.Send((caller + i) % kInstances,
-                          fmt::format("{}-{}-{}", prefix, caller, i)),
-               sent);
-          std::this_thread::sleep_for(kPause);
-        }
-      });
-    }
-  }
-  ~Load() { Stop(); }
-  Load(const Load&) = delete;
-  Load& operator=(const Load&) = delete;
-
-  void Stop() {
-    stopped_ = true;
-    for (std::thread& thread : threads_) {
-      if (thread.joinable()) {
-        thread.join();
-      }
-    }
-  }
-
-  int answered() const { return answered_; }
-  int refused() const { return refused_; }
-  // Neither answered nor refused with a time to come back.
-  int failed() const { return failed_; }
-  // The part of all requests that was answered within the target latency.
-  double PartInTime() const {
-    return static_cast<double>(in_time_) / (answered_ + refused_ + failed_);
-  }
-  std::string last_failure() const { return last_failure_; }
-
- private:
-  static constexpr int kCallers = 8;
-  static constexpr Milliseconds kPause{60};
-
-  void Note(const Result<HttpReply>& reply, TimePoint sent) {
-    if (reply && reply.value().status == 200) {
-      ++answered_;
-      in_time_ += Clock::now() - sent <= kTargetLatency ? 1 : 0;
-    } else if (reply && reply.value().status == 503 &&
-               ParseRetryAfter(
-                   StdView(reply.value().header[http::field::retry_after]))) {
-      ++refused_;
-    } else {
-      ++failed_;
-      const std::lock_guard<std::mutex> lock(mutex_);
-      last_failure_ =
-          reply ? fmt::format("{} {}", reply.value().status, reply.value().body)
-                : reply.error().detail;
-    }
-  }
-
-  std::atomic<bool> stopped_ = false;
-  std::atomic<int> answered_ = 0;
-  std::atomic<int> in_time_ = 0;
-  std::atomic<int> refused_ = 0;
-  std::atomic<int> failed_ = 0;
-  std::mutex mutex_;
-  std::string last_failure_;
-  std::vector<std::thread> threads_;
-};
-
 TEST_CASE("targets that leave get nothing more while the list cannot be read") {
   PlatformStandIn fleet(kInstances);
   REQUIRE(fleet.AwaitReady(kStartLimit));
-  Load load(fleet, "release");
+  Load load(fleet, kAllInstances, "release");
   std::this_thread::sleep_for(Milliseconds(500));
   fleet.OnLoop([&]() { fleet.store().SetDown(true); });
   // One target of each region, one after the other.
@@ -157,7 +74,7 @@
   constexpr int64_t kNewStart = 2'000;
   PlatformStandIn fleet(kInstances);
   REQUIRE(fleet.AwaitReady(kStartLimit));
-  Load load(fleet, announced ? "announced" : "listed");
+  Load load(fleet, kAllInstances, announced ? "announced" : "listed");
   std::this_thread::sleep_for(kPauseBetween);
   for (size_t i = 0; i < fleet.target_count(); ++i) {
     fleet.OnLoop([&]() {
@@ -202,7 +119,7 @@
     });
   };
   // One of four: the others have room for all.
-  Load some(fleet, "some");
+  Load some(fleet, kAllInstances, "some");
   set_backoffs(1);
   std::this_thread::sleep_for(std::chrono::seconds(4));
   some.Stop();
@@ -211,7 +128,7 @@
   CHECK(some.failed() == 0);
   // All: callers are refused at once, with a time to come back.
   set_backoffs(fleet.target_count());
-  Load all(fleet, "all");
+  Load all(fleet, kAllInstances, "all");
   std::this_thread::sleep_for(std::chrono::seconds(4));
   all.Stop();
   CAPTURE(all.answered(), all.refused(), all.last_failure());
--- a/testing/platform_stand_in/target_stand_in.cc
+++ b/testing/platform_stand_in/target_stand_in.cc
@@ -13,7 +13,11 @@
 namespace {
 constexpr size_t kMaxBody = 1024 * 1024;  // bytes
 
-// From then on a target's wish for no requests must have been heard.
+// What the platform's rule allows beyond a target's rate limit.
+constexpr double kRateOverage = 1.5;
+constexpr int kRateSlack = 5;  // requests
+
+// From then on what a target has said of itself must have been heard.
 constexpr Milliseconds kHeardAfter{500};
 }  // namespace
 
@@ -43,6 +47,32 @@
       }));
 }
 
+void TargetStandIn::SetRateLimit(std::optional<double> per_second) {
+  rate_limit_ = per_second;
+  named_limit_at_.reset();
+}
+
+int TargetStandIn::MostInRateWindow() const {
+  if (!named_limit_at_) {
+    return 0;
+  }
+  const auto from = std::upper_bound(arrivals_.begin(), arrivals_.end(),
+                                     *named_limit_at_ + kHeardAfter);
+  std::ptrdiff_t most = 0;
+  for (auto first = from; first != arrivals_.end(); ++first) {
+    const auto end =
+        std::lower_bound(first, arrivals_.end(), *first + kRateWindow);
+    most = std::max(most, end - first);
+  }
+  return static_cast<int>(most);
+}
+
+int TargetStandIn::AllowedInRateWindow() const {
+  return static_cast<int>(kRateOverage * rate_limit_.value_or(0) *
+                          kRateWindow.count()) +
+         kRateSlack;
+}
+
 ResponseHeader TargetStandIn::Answer(unsigned status,
                                      std::string_view request_id) {
   ResponseHeader header;
@@ -52,6 +82,10 @@
     header.set("Server-Leaving", "1");
     said_leaving_at_ = said_leaving_at_.value_or(Clock::now());
   }
+  if (rate_limit_) {
+    header.set("Server-Limit", fmt::format("{}", *rate_limit_));
+    named_limit_at_ = named_limit_at_.value_or(Clock::now());
+  }
   return header;
 }
 
--- a/testing/platform_stand_in/target_stand_in.h
+++ b/testing/platform_stand_in/target_stand_in.h
@@ -36,6 +36,8 @@
 // only.
 class TargetStandIn : public HttpHandler {
  public:
+  static constexpr std::chrono::seconds kRateWindow{4};
+
   TargetStandIn(boost::asio::io_context& io, std::string id, int slots);
 
   std::string Listen(const std::string& ip);
@@ -51,6 +53,15 @@
   void SetLeaving(bool leaving);
   // Requests that arrived later than this after the first answer that said so.
   int ArrivedAfterLeaving(Milliseconds allowed) const;
+  // Names in all answers the requests a second that it takes from all
+  // instances together, or no more.
+  void SetRateLimit(std::optional<double> per_second);
+  // Most requests that arrived in one window of kRateWindow, of the windows
+  // that began half a second or more after the first answer that named the
+  // limit.
+  int MostInRateWindow() const;
+  // Requests that may arrive in such a window.
+  int AllowedInRateWindow() const;
   // Turns each request away and asks for a time, or, with none, runs them.
   void SetBackoff(std::optional<Milliseconds> backoff) { backoff_ = backoff; }
   // Most requests that arrived inside one time that it had asked for, from half
@@ -89,6 +100,8 @@
   std::optional<Milliseconds> backoff_;
   std::vector<AskedTime> asked_;
   int most_inside_backoff_ = 0;
+  std::optional<double> rate_limit_;
+  std::optional<TimePoint> named_limit_at_;
 };
 
 }  // namespace redwing::testing
