Generalise the limiter of cold targets to any request rate of a target

WarmUpLimiter and ColdShare keep a rate that all instances together send to one target. Nothing in them is about warm-up; the rate limit that a target names in its responses needs the same bound. Renamed to TargetRateLimiter and TargetRateShare, no change of behaviour.

Checked: build, routing tests.

--- a/src/routing/internal/local_target_router.cc
+++ b/src/routing/internal/local_target_router.cc
@@ -41,7 +41,7 @@
                                std::shared_ptr<SteeringConfig> config) {
   membership_ = std::move(membership);
   config_ = std::move(config);
-  cold_share_ = ColdShare(identity_, membership_, options_.led_targets);
+  rate_share_ = TargetRateShare(identity_, membership_, options_.led_targets);
   notices_.Attach(config_);
   config_->on_change().Subscribe([this]() { ApplyConfig(); });
   membership_->AddHeartbeatSource([this](Heartbeat& heartbeat) {
@@ -284,7 +284,7 @@
         pool.targets.push_back(state);
       }
       state->SetWarmUp(service.warm_up, service.warm_up_rate,
-                       cold_share_.FractionFor(target), now);
+                       rate_share_.FractionFor(target), now);
       state->SetClosed(IsClosed(target), now);
       state->SetBackoff(notices_.BackoffEnd(target));
     }
--- a/src/routing/internal/local_target_router.h
+++ b/src/routing/internal/local_target_router.h
@@ -9,10 +9,10 @@
 #include <vector>
 
 #include "framework/kernel/periodic_task.h"
-#include "routing/internal/cold_share.h"
 #include "routing/internal/health_poller.h"
 #include "routing/internal/target_notices.h"
 #include "routing/internal/target_pool.h"
+#include "routing/internal/target_rate_share.h"
 #include "routing/target_choice.h"
 #include "routing/target_router.h"
 #include "routing/target_router_options.h"
@@ -130,7 +130,7 @@
   // Runs while requests wait for a slot.
   PeriodicTask wake_;
   bool waking_ = false;
-  ColdShare cold_share_;
+  TargetRateShare rate_share_;
   HealthPoller health_;
 };
 
--- a/src/routing/internal/cold_share.cc
+++ b/src/routing/internal/target_rate_share.cc
@@ -1,4 +1,4 @@
-#include "routing/internal/cold_share.h"
+#include "routing/internal/target_rate_share.h"
 
 #include <algorithm>
 #include <utility>
@@ -11,25 +11,26 @@
 namespace redwing {
 
 namespace {
-// Upper bound on the instances of a region that send requests to a cold target.
-constexpr size_t kColdSenders = 4;
+// Upper bound on the instances of a region that send requests to a target with
+// a bounded rate.
+constexpr size_t kMaxSenders = 4;
 
-uint64_t ColdScore(const std::string& instance, const Target& target) {
+uint64_t SenderScore(const std::string& instance, const Target& target) {
   return Hash64(instance + "/" + target.name);
 }
 }  // namespace
 
-ColdShare::ColdShare(std::shared_ptr<Identity> identity,
-                     std::shared_ptr<Membership> membership,
-                     bool led)
+TargetRateShare::TargetRateShare(std::shared_ptr<Identity> identity,
+                                 std::shared_ptr<Membership> membership,
+                                 bool led)
     : identity_(std::move(identity)),
       membership_(std::move(membership)),
       led_(led) {}
 
-double ColdShare::FractionFor(const Target& target) const {
+double TargetRateShare::FractionFor(const Target& target) const {
   // Counts listed instances as well as usable ones: instances that are not
   // connected to each other must not both take the whole rate.
-  const uint64_t own = ColdScore(identity_->name, target);
+  const uint64_t own = SenderScore(identity_->name, target);
   size_t before = 0;
   size_t senders = 1;
   size_t usable = 1;
@@ -40,14 +41,14 @@
     }
     ++senders;
     usable += member.usable() ? 1 : 0;
-    before += ColdScore(name, target) > own ? 1 : 0;
+    before += SenderScore(name, target) > own ? 1 : 0;
   }
   if (led_) {
     // Only the slot leader sends. While some listed instances are unreachable,
     // they may have elected another leader, so that only a fraction is safe.
     return static_cast<double>(usable) / static_cast<double>(senders);
   }
-  const size_t parts = std::min(senders, kColdSenders);
+  const size_t parts = std::min(senders, kMaxSenders);
   return before < parts ? 1.0 / static_cast<double>(parts) : 0;
 }
 
--- a/src/routing/warm_up_limiter.h
+++ b/src/routing/target_rate_limiter.h
@@ -1,14 +1,15 @@
-#ifndef REDWING_ROUTING_WARM_UP_LIMITER_H_
-#define REDWING_ROUTING_WARM_UP_LIMITER_H_
+#ifndef REDWING_ROUTING_TARGET_RATE_LIMITER_H_
+#define REDWING_ROUTING_TARGET_RATE_LIMITER_H_
 
 #include "framework/kernel/clock.h"
 
 namespace redwing {
 
-// Token bucket for this instance's fraction of the request rate that one cold
-// target bears. It saves at most one token, so that in any second all instances
-// together send at most the rate plus one request per instance.
-class WarmUpLimiter {
+// Token bucket for this instance's fraction of a request rate that one target
+// accepts from all instances together. It saves at most one token, so that in
+// any period all instances together send at most the rate plus one request per
+// instance.
+class TargetRateLimiter {
  public:
   // Sets the rate. `rate` is in requests per second over the whole fleet;
   // `fraction` is this instance's fraction of it, from 0 to 1.
@@ -29,4 +30,4 @@
 
 }  // namespace redwing
 
-#endif  // REDWING_ROUTING_WARM_UP_LIMITER_H_
+#endif  // REDWING_ROUTING_TARGET_RATE_LIMITER_H_
--- a/src/routing/target_state.h
+++ b/src/routing/target_state.h
@@ -9,7 +9,7 @@
 #include "framework/kernel/clock.h"
 #include "routing/recent_keys.h"
 #include "routing/target_load.h"
-#include "routing/warm_up_limiter.h"
+#include "routing/target_rate_limiter.h"
 #include "steering/target.h"
 
 namespace redwing {
@@ -137,7 +137,7 @@
   Milliseconds warm_up_{0};
   double warm_up_rate_ = 0;
   TimePoint cold_until_;
-  WarmUpLimiter warm_up_limiter_;
+  TargetRateLimiter warm_up_limiter_;
   RecentKeys recent_keys_;
   double latency_ms_ = 0;
   double slowness_ = 1;
--- a/src/routing/tests/warm_up_limiter_test.cc
+++ b/src/routing/tests/target_rate_limiter_test.cc
@@ -1,4 +1,4 @@
-#include "routing/warm_up_limiter.h"
+#include "routing/target_rate_limiter.h"
 
 #include <array>
 #include <catch2/catch.hpp>
@@ -13,9 +13,9 @@
 TEST_CASE("all instances together stay below the rate plus one request each") {
   constexpr double kRate = 18;
   constexpr int kParts = 4;
-  std::array<WarmUpLimiter, kParts> limiters;
+  std::array<TargetRateLimiter, kParts> limiters;
   TimePoint now;
-  for (WarmUpLimiter& limiter : limiters) {
+  for (TargetRateLimiter& limiter : limiters) {
     limiter.SetRate(kRate, 1.0 / kParts, now);
   }
   std::deque<TimePoint> sent;
@@ -23,7 +23,7 @@
   size_t total = 0;
   for (int ms = 0; ms < 10'000; ++ms) {
     now += Milliseconds(1);
-    for (WarmUpLimiter& limiter : limiters) {
+    for (TargetRateLimiter& limiter : limiters) {
       if (limiter.CanSpend(now)) {
         limiter.Spend(now);
         sent.push_back(now);
@@ -40,7 +40,7 @@
 }
 
 TEST_CASE("an idle limiter saves at most one token") {
-  WarmUpLimiter limiter;
+  TargetRateLimiter limiter;
   TimePoint now;
   limiter.SetRate(10, 1, now);
   now += std::chrono::hours(1);
