Keep the rate limit that a target names, over the whole fleet (LIMIT)

What callers saw: nothing; a target that had named a limit of 2 requests a second got 19 in 4 s, as many as before it named one.

Cause: the field was not read; only slots bounded what was sent. Class: a bound on one target that the fleet keeps together, like warm-up rates and backoffs, and that has to survive a change of the target's slot leader.

Change: the response's field is decoded into the target notice and kept in TargetRateLimits, beside backoffs and departures. The slot leader spends the rate through TargetRateLimiter, the limiter of cold targets; by TargetRateShare an instance that is not the leader by its own view has no part of it, and shares are recomputed with each change of membership. The same held for warm-up rates, whose part was only computed when the configuration changed, and for two leaders at once. Instances announce what they received themselves for 30 s, with the leader's time until it can send one more: the next leader knows the limit before its first request, and others place requests where they are admitted. A request that no target admits in time is refused at once; a limited target counts as lost capacity for the limit on shifts. A valid response without the field ends a limit; a limit of zero is taken for one request in 4 s. Heartbeats of an older version, without the new list, are still read (ArchiveAppended).

--- a/src/delivery/header_dialect.h
+++ b/src/delivery/header_dialect.h
@@ -31,6 +31,10 @@
   // Sent by targets in any response: "1" announces the target's departure.
   // Empty: departures are not announced.
   std::string target_leaving = "X-Target-Leaving";
+  // Sent by targets in any response: the requests per second that the target
+  // accepts from all instances together, a decimal number, for as long as its
+  // responses contain it. Empty: rate limits are not announced.
+  std::string target_rate_limit = "X-Target-Rate-Limit";
   // Targets echo the request id, so that a response to another request is
   // detected by its id.
   bool targets_echo_request_id = false;
--- a/src/delivery/internal/target_notice.h
+++ b/src/delivery/internal/target_notice.h
@@ -18,9 +18,13 @@
   // Time for which a target that rejected the request wants no further
   // requests; std::nullopt if it names none.
   std::optional<Milliseconds> backoff;
+  // Requests per second that the target accepts from all instances together;
+  // kNoRateLimit if the response names no limit, std::nullopt if the limit that
+  // it names is invalid.
+  std::optional<double> rate_limit;
 
-  // Reads the notice from a target's response. An invalid backoff time is
-  // logged and ignored.
+  // Reads the notice from a target's response. An invalid backoff time or rate
+  // limit is logged and ignored.
   static TargetNotice Read(const ResponseHeader& header,
                            const HeaderDialect& dialect);
 };
--- a/src/delivery/internal/upstream_attempt.cc
+++ b/src/delivery/internal/upstream_attempt.cc
@@ -16,6 +16,7 @@
 #include "framework/kernel/cancellation.h"
 #include "framework/metrics/metrics.h"
 #include "framework/wire/digest.h"
+#include "routing/target_rate_limits.h"
 
 namespace redwing {
 
@@ -177,16 +178,23 @@
     SkipBody(yield);
     return NotRun(Errc::kTargetMoved, "another target is using the address");
   }
-  const TargetNotice notice = TargetNotice::Read(header, dialect_);
+  TargetNotice notice = TargetNotice::Read(header, dialect_);
+  const bool not_run = header.count(dialect_.not_run) > 0;
+  const Result<void> valid =
+      not_run ? boost::outcome_v2::success() : ValidateTargetHeader();
+  if (!valid && notice.rate_limit == kNoRateLimit) {
+    // A response that is not the target's own does not end a limit.
+    notice.rate_limit.reset();
+  }
   if (plan_.on_notice) {
     plan_.on_notice(notice);
   }
-  if (header.count(dialect_.not_run) > 0) {
+  if (not_run) {
     SkipBody(yield);
     return NotRun(Errc::kTargetShed, "the target is shedding load",
                   notice.backoff.value_or(kShedRetryAfter));
   }
-  return ValidateTargetHeader();
+  return valid;
 }
 
 bool UpstreamAttempt::IsResponseToAttempt() const {
--- a/src/delivery/internal/upstream_sender.cc
+++ b/src/delivery/internal/upstream_sender.cc
@@ -238,6 +238,10 @@
     services_.router->RecordBackoff(target, *notice.backoff,
                                     context.request_id);
   }
+  if (notice.rate_limit) {
+    services_.router->RecordRateLimit(target, *notice.rate_limit,
+                                      context.request_id);
+  }
 }
 
 void UpstreamSender::ApplyDeparture(Delivery& delivery,
--- a/src/delivery/tests/target_notice_test.cc
+++ b/src/delivery/tests/target_notice_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "delivery/header_dialect.h"
+#include "routing/target_rate_limits.h"
 
 namespace redwing {
 namespace {
@@ -47,5 +48,28 @@
   }
 }
 
+TEST_CASE("a rate limit is read from a response of any status") {
+  const HeaderDialect dialect;
+  for (const unsigned status : {200, 404, 500, 503}) {
+    ResponseHeader header = Answer(status);
+    CHECK(TargetNotice::Read(header, dialect).rate_limit == kNoRateLimit);
+    header.set("X-Target-Rate-Limit", "3.6");
+    CHECK(TargetNotice::Read(header, dialect).rate_limit == 3.6);
+    header.set("X-Target-Rate-Limit", "0");
+    CHECK(TargetNotice::Read(header, dialect).rate_limit == 0);
+  }
+}
+
+TEST_CASE("an invalid rate limit neither sets nor ends a limit") {
+  const HeaderDialect dialect;
+  for (const char* const text :
+       {"", "-2", "nan", "inf", "two", "2/s", "2,5", "2 3", "1e3"}) {
+    CAPTURE(text);
+    ResponseHeader header = Answer(200);
+    header.set("X-Target-Rate-Limit", text);
+    CHECK_FALSE(TargetNotice::Read(header, dialect).rate_limit);
+  }
+}
+
 }  // namespace
 }  // namespace redwing
--- a/src/framework/http/internal/retry_after.cc
+++ b/src/framework/http/internal/retry_after.cc
@@ -1,9 +1,10 @@
 #include "framework/http/retry_after.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 
+#include "framework/http/decimal.h"
+
 namespace redwing {
 
 namespace {
@@ -11,17 +12,13 @@
 }  // namespace
 
 std::optional<Milliseconds> ParseRetryAfter(std::string_view text) {
-  double seconds = 0;
-  const char* const end = text.data() + text.size();
-  const std::from_chars_result read =
-      std::from_chars(text.data(), end, seconds, std::chars_format::fixed);
-  const bool is_number = read.ec == std::errc() && read.ptr == end;
-  if (!is_number || !std::isfinite(seconds) || std::signbit(seconds)) {
+  const std::optional<double> seconds = ParseDecimal(text);
+  if (!seconds) {
     return std::nullopt;
   }
   const double longest = ToSeconds(kLongestRetryAfter);
   return Milliseconds(static_cast<int64_t>(
-      std::ceil(std::min(seconds, longest) * kMillisPerSecond)));
+      std::ceil(std::min(*seconds, longest) * kMillisPerSecond)));
 }
 
 }  // namespace redwing
--- a/src/framework/wire/payload.h
+++ b/src/framework/wire/payload.h
@@ -6,12 +6,25 @@
 #include <cereal/types/vector.hpp>
 #include <sstream>
 #include <string>
+#include <type_traits>
 
 #include "framework/errors/result.h"
 #include "framework/wire/bounded_input_archive.h"
 
 namespace redwing {
 
+// Encodes or decodes a field that was appended to a message. It stays as it is
+// if the message is from an older version, which ends before the field.
+template <typename Archive, typename Field>
+void ArchiveAppended(Archive& archive, Field& field) {
+  if constexpr (std::is_same_v<Archive, BoundedInputArchive>) {
+    if (archive.left() == 0) {
+      return;
+    }
+  }
+  archive(field);
+}
+
 // Encodes a message struct with a cereal serialize() member.
 template <typename Message>
 std::string EncodePayload(const Message& message) {
--- a/src/membership/heartbeat.h
+++ b/src/membership/heartbeat.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "framework/wire/payload.h"
 #include "membership/target_start.h"
 
 namespace redwing {
@@ -31,6 +32,24 @@
   }
 };
 
+// Rate limit that a target named in a response to the sender.
+struct TargetRateReport {
+  TargetStart target;
+  // Requests per second of all instances together; infinite if the response
+  // named no limit.
+  double rate = 0;
+  // Time since the response.
+  uint32_t age_ms = 0;
+  // Time until the sender can send one more request to the target, if it is the
+  // target's slot leader.
+  uint32_t wait_ms = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(target, rate, age_ms, wait_ms);
+  }
+};
+
 // Number of requests that an instance has placed in a region since it started;
 // wraps around.
 struct PlacedRequests {
@@ -106,12 +125,15 @@
   // Some of the targets that announced their departure to the sender in a
   // response.
   std::vector<TargetStart> departed;
+  // Rate limits of some targets that named them to the sender.
+  std::vector<TargetRateReport> rate_limits;
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(identity, leaving, ready, heartbeat_number, echoed_heartbeat_number,
             incarnation_seen, state_digest, state_sum, withdrawn_hash,
             load_permille, key_epoch, work, placed, relayed, departed);
+    ArchiveAppended(archive, rate_limits);
   }
 };
 
--- a/src/routing/candidate_choice.h
+++ b/src/routing/candidate_choice.h
@@ -22,6 +22,10 @@
   double slowness = 1;
   // Network round-trip time to the target, in milliseconds.
   double round_trip_ms = 0;
+  // Whether the target named a rate limit, and the time until it admits the
+  // request, in milliseconds.
+  bool rate_limited = false;
+  double rate_wait = 0;
   // Rendezvous hash score of the target and the affinity key.
   uint64_t score = 0;
   // Number of the target's region.
@@ -32,8 +36,8 @@
   // Whether requests may shift to the target's region or stay there. Ignored if
   // it is false for all candidates.
   bool allowed = true;
-  // Filled in by ChooseCandidate(): expected time until a slot is free, and
-  // until the response arrives, in milliseconds.
+  // Filled in by ChooseCandidate(): expected time until the request can be
+  // sent, and until the response arrives, in milliseconds.
   double wait = 0;
   double expected = 0;
 };
@@ -48,7 +52,8 @@
 // score wins among equal ones. Returns its index, or std::nullopt if no
 // candidate has a slot in time.
 //
-// In each region a key has one own target: the one with the highest score. A
+// In each region a key has one own target: the one with the highest score of
+// those whose rate limit admits the request in time. A
 // request waits for the own target of the entry instance's region. It waits for
 // an own target elsewhere only if the key has visited it or the entry
 // instance's region has no target for it. It runs cold at another region's own
--- a/src/routing/internal/candidate_choice.cc
+++ b/src/routing/internal/candidate_choice.cc
@@ -8,15 +8,24 @@
 namespace {
 
 // Returns the time in milliseconds for which a request waits until a slot is
-// free.
+// free and the target's rate limit admits it.
 double WaitAt(const TargetCandidate& candidate, double run) {
   const double ahead = candidate.load + 1 - candidate.slots;
-  return ahead <= 0 ? 0 : ahead / candidate.slots * run;
+  return std::max(candidate.rate_wait,
+                  ahead <= 0 ? 0 : ahead / candidate.slots * run);
 }
 
-// Returns the index of the candidate with the highest score in each region, by
-// number of the region.
-std::vector<size_t> OwnTargets(const std::vector<TargetCandidate>& candidates) {
+// Returns whether the target's rate limit admits a request within `max_wait`
+// milliseconds, network round trip included.
+bool IsAdmitted(const TargetCandidate& candidate, double max_wait) {
+  return candidate.rate_wait <=
+         std::max(0.0, max_wait - candidate.round_trip_ms);
+}
+
+// Returns the index of the admitted candidate with the highest score in each
+// region, by number of the region.
+std::vector<size_t> OwnTargets(const std::vector<TargetCandidate>& candidates,
+                               double max_wait) {
   constexpr size_t kNone = SIZE_MAX;
   std::vector<size_t> own;
   for (size_t i = 0; i < candidates.size(); ++i) {
@@ -25,6 +34,9 @@
       own.resize(candidate.region + 1, kNone);
     }
     size_t& best = own[candidate.region];
+    if (!IsAdmitted(candidate, max_wait)) {
+      continue;
+    }
     if (best == kNone || candidate.score > candidates[best].score) {
       best = i;
     }
@@ -47,7 +59,7 @@
                                     [](const TargetCandidate& candidate) {
                                       return candidate.region == kNearRegion;
                                     });
-  const std::vector<size_t> own_targets = OwnTargets(*candidates);
+  const std::vector<size_t> own_targets = OwnTargets(*candidates, max_wait);
   std::optional<size_t> best;
   double best_cost = 0;
   for (size_t index = 0; index < candidates->size(); ++index) {
--- a/src/routing/internal/led_placement.cc
+++ b/src/routing/internal/led_placement.cc
@@ -29,6 +29,11 @@
   return static_cast<uint32_t>(Hash64(name));
 }
 
+double ToMillis(Clock::duration duration) {
+  constexpr double kMillisPerSecond = 1000;
+  return ToSeconds(duration) * kMillisPerSecond;
+}
+
 Milliseconds ShortestWait(const std::vector<TargetCandidate>& candidates) {
   const auto first =
       std::min_element(candidates.begin(), candidates.end(),
@@ -43,12 +48,13 @@
                            std::shared_ptr<Membership> membership,
                            std::shared_ptr<SteeringConfig> config,
                            std::shared_ptr<LocalTargetRouter> router,
+                           std::shared_ptr<TargetLeaders> leaders,
                            double max_shift)
     : identity_(std::move(identity)),
       membership_(std::move(membership)),
       config_(std::move(config)),
       router_(std::move(router)),
-      targets_(identity_, membership_, config_, router_),
+      targets_(identity_, membership_, config_, router_, std::move(leaders)),
       shift_(max_shift) {
   membership_->AddHeartbeatSource([this](Heartbeat& heartbeat) {
     router_->ReportTargets(
@@ -128,7 +134,8 @@
         !Describe(target, now, &candidate)) {
       continue;
     }
-    slots_[candidate.region] += candidate.slots;
+    // A rate limit takes capacity from the region as a lost target does.
+    slots_[candidate.region] += candidate.rate_limited ? 0 : candidate.slots;
     if (!request.tried_targets.empty() &&
         request.tried_targets.count(target.target->name) > 0) {
       continue;
@@ -259,14 +266,23 @@
                                   work.slowness_percent / kPercent,
                                   work.usable || work.backoff_ms > 0,
                                   now + Milliseconds(work.backoff_ms),
+                                  now,
                                   now};
   }
+  for (const TargetRateReport& limit : heartbeat.rate_limits) {
+    const auto report =
+        reports_.find(static_cast<uint32_t>(limit.target.name_hash));
+    if (report != reports_.end() && report->second.leader == member.name) {
+      report->second.admits_at = now + Milliseconds(limit.wait_ms);
+    }
+  }
 }
 
 bool LedPlacement::Describe(const PlacementTarget& target,
                             TimePoint now,
                             TargetCandidate* candidate) const {
   candidate->slots = target.target->slots;
+  candidate->rate_limited = router_->IsRateLimited(*target.target);
   double slowness = 1;
   if (target.leader == identity_->name) {
     if (target.state == nullptr || !target.state->Usable(now)) {
@@ -274,6 +290,7 @@
     }
     candidate->load =
         target.state->outstanding() + router_->WaitingFor(target.target->name);
+    candidate->rate_wait = ToMillis(router_->RateLimitWait(*target.state, now));
     slowness = target.state->slowness();
   } else {
     const Report* const report = ReportOf(target, now);
@@ -282,6 +299,9 @@
     }
     candidate->load = report == nullptr ? 0 : report->load;
     slowness = report == nullptr ? 1 : report->slowness;
+    candidate->rate_wait =
+        report == nullptr ? 0
+                          : std::max(0.0, ToMillis(report->admits_at - now));
     const auto own = forwarded_.find(target.hash);
     if (own != forwarded_.end()) {
       candidate->load = std::max<double>(candidate->load, own->second);
--- a/src/routing/internal/led_placement.h
+++ b/src/routing/internal/led_placement.h
@@ -33,6 +33,7 @@
                std::shared_ptr<Membership> membership,
                std::shared_ptr<SteeringConfig> config,
                std::shared_ptr<LocalTargetRouter> router,
+               std::shared_ptr<TargetLeaders> leaders,
                double max_shift);
 
   Result<TargetPlacement> SelectTarget(
@@ -51,6 +52,8 @@
     bool usable = true;
     // End of the target's backoff.
     TimePoint backoff_end;
+    // Time from which its rate limit admits one more request.
+    TimePoint admits_at;
     TimePoint at;
   };
 
--- a/src/routing/internal/local_target_router.cc
+++ b/src/routing/internal/local_target_router.cc
@@ -1,6 +1,7 @@
 #include "routing/internal/local_target_router.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "config/steering_config.h"
 #include "framework/log/log.h"
@@ -13,7 +14,6 @@
 namespace {
 // Peers' finished requests and new tokens are not signalled, but polled.
 constexpr Milliseconds kWakeInterval{5};
-constexpr double kFullLoad = 1000;
 constexpr double kPercent = 100;
 constexpr char kBackoffReason[] = "the target asked for a backoff";
 
@@ -38,15 +38,17 @@
 LocalTargetRouter::~LocalTargetRouter() = default;
 
 void LocalTargetRouter::Attach(std::shared_ptr<Membership> membership,
-                               std::shared_ptr<SteeringConfig> config) {
+                               std::shared_ptr<SteeringConfig> config,
+                               std::shared_ptr<TargetLeaders> leaders) {
   membership_ = std::move(membership);
   config_ = std::move(config);
-  rate_share_ = TargetRateShare(identity_, membership_, options_.led_targets);
+  rate_share_ = TargetRateShare(identity_, membership_, std::move(leaders));
   notices_.Attach(config_);
   config_->on_change().Subscribe([this]() { ApplyConfig(); });
-  membership_->AddHeartbeatSource([this](Heartbeat& heartbeat) {
-    heartbeat.departed = notices_.NextToAnnounce(Clock::now());
-  });
+  membership_->AddHeartbeatSource(
+      [this](Heartbeat& heartbeat) { AnnounceNotices(&heartbeat); });
+  membership_->on_change().Subscribe(
+      [this](const Member& /*member*/) { rate_shares_stale_ = true; });
   if (!options_.led_targets) {
     membership_->AddHeartbeatSource([this](Heartbeat& heartbeat) {
       for (const auto& [name, pool] : pools_) {
@@ -66,12 +68,16 @@
                                     Clock::now())) {
           CloseDeparted();
         }
+        if (notices_.RecordRateLimitsFromPeer(heartbeat.rate_limits,
+                                              member.name, Clock::now())) {
+          ApplyRateLimits();
+        }
       });
 }
 
 void LocalTargetRouter::Start() {
   if (options_.polls_health) {
-    health_.Start([this]() { return AllStates(); });
+    health_.Start([this]() { return AllStates(pools_); });
   }
 }
 
@@ -82,6 +88,7 @@
 
 Result<TargetLease> LocalTargetRouter::AcquireSlot(const SlotRequest& request,
                                                    const Yield& yield) {
+  UpdateRateShares();
   const auto found = pools_.find(request.service);
   const TimePoint now = Clock::now();
   const Milliseconds backoff =
@@ -145,6 +152,55 @@
   }
 }
 
+void LocalTargetRouter::RecordRateLimit(const Target& target,
+                                        double rate,
+                                        std::string_view request_id) {
+  if (notices_.RecordRateLimit({target.name, target.started_at}, target.name,
+                               rate, request_id, Clock::now())) {
+    ApplyRateLimits();
+    membership_->SendHeartbeatToSample();
+  }
+}
+
+void LocalTargetRouter::ApplyRateLimits() {
+  const TimePoint now = Clock::now();
+  for (const StatePtr& state : AllStates(pools_)) {
+    state->SetRateLimit(notices_.RateLimitOf(state->target()), now);
+  }
+}
+
+void LocalTargetRouter::UpdateRateShares() {
+  if (!std::exchange(rate_shares_stale_, false)) {
+    return;
+  }
+  const TimePoint now = Clock::now();
+  for (const StatePtr& state : AllStates(pools_)) {
+    state->SetRateShare(rate_share_.FractionFor(state->target()), now);
+  }
+}
+
+void LocalTargetRouter::AnnounceNotices(Heartbeat* heartbeat) {
+  const TimePoint now = Clock::now();
+  notices_.Announce(heartbeat, now);
+  if (heartbeat->rate_limits.empty()) {
+    return;
+  }
+  for (const StatePtr& state : AllStates(pools_)) {
+    const TargetStart start(state->target().name, state->target().started_at);
+    for (TargetRateReport& report : heartbeat->rate_limits) {
+      if (report.target == start) {
+        report.wait_ms =
+            static_cast<uint32_t>(RateLimitWait(*state, now).count());
+      }
+    }
+  }
+}
+
+Milliseconds LocalTargetRouter::RateLimitWait(const TargetState& state,
+                                              TimePoint now) const {
+  return state.RateLimitWait(WaitingFor(state.target().name), now);
+}
+
 void LocalTargetRouter::CloseDeparted() {
   const TimePoint now = Clock::now();
   for (auto& [name, pool] : pools_) {
@@ -168,20 +224,6 @@
   return Milliseconds(static_cast<int64_t>(TimesOf(service).warm_ms()));
 }
 
-uint16_t LocalTargetRouter::LoadPermille() const {
-  int slots = 0;
-  int load = 0;
-  const TimePoint now = Clock::now();
-  for (const auto& [name, pool] : pools_) {
-    slots += pool.UsableSlots(now);
-    load += pool.KnownLoad(now);
-  }
-  if (slots == 0) {
-    return 0;
-  }
-  return static_cast<uint16_t>(std::min(kFullLoad, kFullLoad * load / slots));
-}
-
 std::vector<std::string> LocalTargetRouter::RegionsOf(
     std::string_view service) const {
   std::set<std::string> regions;
@@ -197,27 +239,16 @@
   return {regions.begin(), regions.end()};
 }
 
+uint16_t LocalTargetRouter::LoadPermille() const {
+  return redwing::LoadPermille(pools_, Clock::now());
+}
+
 std::vector<TargetStatus> LocalTargetRouter::Status() const {
-  std::vector<TargetStatus> list;
-  const TimePoint now = Clock::now();
-  for (const auto& [name, pool] : pools_) {
-    for (const StatePtr& state : pool.targets) {
-      list.push_back({state->target().name, name, state->target().slots,
-                      state->outstanding(), state->closed(),
-                      state->Ejected(now), state->latency_ms()});
-    }
-  }
-  return list;
+  return StatusOf(pools_, Clock::now());
 }
 
 const TargetState* LocalTargetRouter::FindTarget(const Target& target) const {
-  for (const auto& [name, pool] : pools_) {
-    const StatePtr state = pool.Find(target);
-    if (state) {
-      return state.get();
-    }
-  }
-  return nullptr;
+  return Find(pools_, target).get();
 }
 
 Milliseconds LocalTargetRouter::ExpectedWait(const TargetPool& pool,
@@ -229,8 +260,9 @@
   const double ahead =
       state->outstanding() + WaitingFor(target) + 1 - state->target().slots;
   const double run = state->slowness() * pool.times.warm_ms();
-  return Milliseconds(
+  const Milliseconds slot_wait(
       static_cast<int64_t>(std::max(0.0, ahead) / state->target().slots * run));
+  return std::max(slot_wait, RateLimitWait(*state, Clock::now()));
 }
 
 int LocalTargetRouter::WaitingFor(const std::string& target) const {
@@ -268,7 +300,7 @@
   const std::shared_ptr<const SteeringDocument> document = config_->document();
   const TimePoint now = Clock::now();
   notices_.ApplyListing(now);
-  CloseRemovedServices(*document, now);
+  CloseRemovedServices(*document, now, &pools_);
   for (const auto& [name, service] : document->services()) {
     TargetPool& pool =
         pools_.try_emplace(name, options_.queue_per_workspace).first->second;
@@ -276,32 +308,15 @@
       if (target.region != identity_->region) {
         continue;
       }
-      StatePtr state = pool.Find(target);
-      if (state) {
-        state->SetTarget(target, now);
-      } else {
-        state = std::make_shared<TargetState>(target, now);
-        pool.targets.push_back(state);
-      }
-      state->SetWarmUp(service.warm_up, service.warm_up_rate,
-                       rate_share_.FractionFor(target), now);
+      const StatePtr state = pool.Update(target, now);
+      state->SetWarmUp(service.warm_up, service.warm_up_rate, now);
+      state->SetRateLimit(notices_.RateLimitOf(target), now);
       state->SetClosed(IsClosed(target), now);
       state->SetBackoff(notices_.BackoffEnd(target));
     }
     pool.KeepListed(service.targets);
   }
-}
-
-void LocalTargetRouter::CloseRemovedServices(const SteeringDocument& document,
-                                             TimePoint now) {
-  for (auto& [name, pool] : pools_) {
-    if (document.FindService(name) != nullptr) {
-      continue;
-    }
-    for (const StatePtr& state : pool.targets) {
-      state->SetClosed(true, now);
-    }
-  }
+  rate_shares_stale_ = true;
 }
 
 void LocalTargetRouter::ApplyPeerLoad(const Member& member,
@@ -311,16 +326,7 @@
   }
   const TimePoint now = Clock::now();
   for (auto& [name, pool] : pools_) {
-    for (const StatePtr& state : pool.targets) {
-      const auto work =
-          std::find_if(heartbeat.work.begin(), heartbeat.work.end(),
-                       [&state](const TargetLoadReport& w) {
-                         return w.target_hash == state->hash();
-                       });
-      state->SetPeerLoad(member.name,
-                         work == heartbeat.work.end() ? 0 : work->outstanding,
-                         now);
-    }
+    pool.ApplyPeerLoad(member.name, heartbeat.work, now);
   }
 }
 
@@ -476,6 +482,7 @@
 }
 
 void LocalTargetRouter::ServeAllWaiters() {
+  UpdateRateShares();
   const TimePoint now = Clock::now();
   bool waiting = false;
   for (auto& [name, pool] : pools_) {
@@ -488,12 +495,4 @@
   }
 }
 
-std::vector<LocalTargetRouter::StatePtr> LocalTargetRouter::AllStates() const {
-  std::vector<StatePtr> states;
-  for (const auto& [name, pool] : pools_) {
-    states.insert(states.end(), pool.targets.begin(), pool.targets.end());
-  }
-  return states;
-}
-
 }  // namespace redwing
--- a/src/routing/internal/local_target_router.h
+++ b/src/routing/internal/local_target_router.h
@@ -11,7 +11,7 @@
 #include "framework/kernel/periodic_task.h"
 #include "routing/internal/health_poller.h"
 #include "routing/internal/target_notices.h"
-#include "routing/internal/target_pool.h"
+#include "routing/internal/target_pools.h"
 #include "routing/internal/target_rate_share.h"
 #include "routing/target_choice.h"
 #include "routing/target_router.h"
@@ -22,7 +22,7 @@
 class Membership;
 class Metrics;
 class SteeringConfig;
-class SteeringDocument;
+class TargetLeaders;
 struct Heartbeat;
 struct Identity;
 struct Member;
@@ -39,8 +39,10 @@
                     TargetRouterOptions options);
   ~LocalTargetRouter() override;
 
+  // `leaders` is null if several instances send requests to a target.
   void Attach(std::shared_ptr<Membership> membership,
-              std::shared_ptr<SteeringConfig> config);
+              std::shared_ptr<SteeringConfig> config,
+              std::shared_ptr<TargetLeaders> leaders);
   void Start();
   void Stop();
 
@@ -52,6 +54,9 @@
   void RecordBackoff(const Target& target,
                      Milliseconds asked,
                      std::string_view request_id) override;
+  void RecordRateLimit(const Target& target,
+                       double rate,
+                       std::string_view request_id) override;
   bool HasUsableTarget(std::string_view service) const override;
   Milliseconds TypicalRunTime(const std::string& service) const override;
   uint16_t LoadPermille() const override;
@@ -63,6 +68,9 @@
   const TargetState* FindTarget(const Target& target) const;
   // Returns the number of requests that wait here for a target.
   int WaitingFor(const std::string& target) const;
+  // Returns the time until the target's rate limit admits one more request
+  // behind those that wait here.
+  Milliseconds RateLimitWait(const TargetState& state, TimePoint now) const;
   // Returns the run times of a service, learned from requests that this
   // instance sent.
   ServiceTimes TimesOf(const std::string& service) const;
@@ -74,19 +82,28 @@
   bool IsClosed(const Target& target) const {
     return notices_.IsClosed(target);
   }
+  // Returns whether a target of any region named a rate limit.
+  bool IsRateLimited(const Target& target) const {
+    return notices_.RateLimitOf(target) != kNoRateLimit;
+  }
   // Notifies that a target's departure was received in a response or from
   // another instance.
   Channel<>& on_departure() { return on_departure_; }
 
  private:
   using StatePtr = TargetPool::StatePtr;
-  using PoolMap = std::map<std::string, TargetPool, std::less<>>;
 
   void ApplyConfig();
-  void CloseRemovedServices(const SteeringDocument& document, TimePoint now);
   void ApplyPeerLoad(const Member& member, const Heartbeat& heartbeat);
   // Closes targets whose departure was reported.
   void CloseDeparted();
+  // Applies the known rate limits to the targets.
+  void ApplyRateLimits();
+  // Recomputes this instance's fractions of the targets' rates, if the fleet
+  // has changed.
+  void UpdateRateShares();
+  // Adds what targets reported in responses to a heartbeat.
+  void AnnounceNotices(Heartbeat* heartbeat);
   StatePtr TryChoose(TargetPool& pool,
                      const SlotRequest& request,
                      TimePoint now);
@@ -112,7 +129,6 @@
                 const FairQueue::WaiterPtr& head,
                 TimePoint now);
   void ServeAllWaiters();
-  std::vector<StatePtr> AllStates() const;
 
   boost::asio::io_context& io_;
   Metrics& metrics_;
@@ -121,7 +137,7 @@
   TargetRouterOptions options_;
   std::shared_ptr<Membership> membership_;
   std::shared_ptr<SteeringConfig> config_;
-  PoolMap pools_;
+  TargetPools pools_;
   TargetNotices notices_;
   Channel<> on_departure_;
   // Number of requests that wait for one target only, by name of the target.
@@ -131,6 +147,7 @@
   PeriodicTask wake_;
   bool waking_ = false;
   TargetRateShare rate_share_;
+  bool rate_shares_stale_ = true;
   HealthPoller health_;
 };
 
--- a/src/routing/internal/placement_targets.cc
+++ b/src/routing/internal/placement_targets.cc
@@ -14,11 +14,12 @@
     const std::shared_ptr<Identity>& identity,
     const std::shared_ptr<Membership>& membership,
     std::shared_ptr<SteeringConfig> config,
-    std::shared_ptr<LocalTargetRouter> router)
+    std::shared_ptr<LocalTargetRouter> router,
+    std::shared_ptr<TargetLeaders> leaders)
     : identity_(identity),
       config_(std::move(config)),
       router_(std::move(router)),
-      leaders_(identity, membership),
+      leaders_(std::move(leaders)),
       region_numbers_({{identity->region, kNearRegion}}) {
   config_->on_change().Subscribe([this]() { lists_.clear(); });
   membership->on_change().Subscribe(
@@ -50,7 +51,7 @@
     const size_t region =
         region_numbers_.emplace(target.region, region_numbers_.size())
             .first->second;
-    const std::string& leader = leaders_.LeaderOf(target);
+    const std::string& leader = leaders_->LeaderOf(target);
     if (leader.empty() || router_->IsClosed(target)) {
       continue;
     }
--- a/src/routing/internal/placement_targets.h
+++ b/src/routing/internal/placement_targets.h
@@ -46,7 +46,8 @@
   PlacementTargets(const std::shared_ptr<Identity>& identity,
                    const std::shared_ptr<Membership>& membership,
                    std::shared_ptr<SteeringConfig> config,
-                   std::shared_ptr<LocalTargetRouter> router);
+                   std::shared_ptr<LocalTargetRouter> router,
+                   std::shared_ptr<TargetLeaders> leaders);
 
   // Returns the targets of a service; null if the service does not exist. Valid
   // until the next change of configuration or membership, or the next departure
@@ -56,7 +57,7 @@
   // seen; this instance's own region is kNearRegion.
   const RegionNumbers& region_numbers() const { return region_numbers_; }
 
-  TargetLeaders& leaders() { return leaders_; }
+  TargetLeaders& leaders() { return *leaders_; }
 
  private:
   std::vector<PlacementTarget> List(const std::vector<Target>& targets);
@@ -64,7 +65,7 @@
   std::shared_ptr<Identity> identity_;
   std::shared_ptr<SteeringConfig> config_;
   std::shared_ptr<LocalTargetRouter> router_;
-  TargetLeaders leaders_;
+  std::shared_ptr<TargetLeaders> leaders_;
   RegionNumbers region_numbers_;
   // Keeps the targets alive that the lists point to.
   std::shared_ptr<const SteeringDocument> document_;
--- a/src/routing/internal/routing_module.cc
+++ b/src/routing/internal/routing_module.cc
@@ -8,6 +8,7 @@
 #include "membership/membership.h"
 #include "routing/internal/led_placement.h"
 #include "routing/internal/local_target_router.h"
+#include "routing/internal/target_leaders.h"
 #include "routing/internal/weighted_lookup.h"
 #include "routing/target_choice.h"
 
@@ -23,9 +24,11 @@
       kernel.io(), *kernel.Find<SocketRegistry>(), *kernel.Find<Metrics>(),
       identity, MakeTargetChoice(target_choice_), options_);
   if (options_.led_targets) {
+    leaders_ =
+        std::make_shared<TargetLeaders>(identity, kernel.Find<Membership>());
     placement_ = std::make_shared<LedPlacement>(
         identity, kernel.Find<Membership>(), kernel.Find<SteeringConfig>(),
-        router_, options_.max_shift);
+        router_, leaders_, options_.max_shift);
     kernel.Register<Placement>(placement_);
   }
   kernel.Register<EntryLookup>(lookup_);
@@ -38,7 +41,7 @@
   const std::shared_ptr<LocalTargetRouter> router = router_;
   lookup_->Attach(membership, config);
   lookup_->SetLoadSource([router]() { return router->LoadPermille(); });
-  router_->Attach(membership, config);
+  router_->Attach(membership, config, leaders_);
 }
 
 void RoutingModule::Start() {
--- a/src/routing/internal/target_departures.cc
+++ b/src/routing/internal/target_departures.cc
@@ -1,7 +1,5 @@
 #include "routing/target_departures.h"
 
-#include <algorithm>
-
 namespace redwing {
 
 bool TargetDepartures::RecordFromResponse(const TargetStart& target,
@@ -9,7 +7,7 @@
   if (!Record(target, now)) {
     return false;
   }
-  announced_.push_back({target, now});
+  announced_.Add(target, now);
   return true;
 }
 
@@ -32,16 +30,7 @@
 }
 
 std::vector<TargetStart> TargetDepartures::NextToAnnounce(TimePoint now) {
-  while (!announced_.empty() && now - announced_.front().since > kAnnounceFor) {
-    announced_.pop_front();
-  }
-  std::vector<TargetStart> next;
-  next.reserve(std::min(announced_.size(), kMaxPerMessage));
-  while (next.size() < std::min(announced_.size(), kMaxPerMessage)) {
-    next_announced_ = (next_announced_ + 1) % announced_.size();
-    next.push_back(announced_[next_announced_].target);
-  }
-  return next;
+  return announced_.Next(now);
 }
 
 void TargetDepartures::Retain(const std::function<bool(uint64_t)>& is_listed,
--- a/src/routing/internal/target_notices.cc
+++ b/src/routing/internal/target_notices.cc
@@ -6,6 +6,7 @@
 #include "framework/log/log.h"
 #include "framework/metrics/metrics.h"
 #include "framework/wire/digest.h"
+#include "membership/heartbeat.h"
 
 namespace redwing {
 
@@ -44,6 +45,7 @@
   };
   departures_.Retain(is_listed, now);
   backoffs_.Retain(is_listed, now);
+  rate_limits_.Retain(is_listed, now);
 }
 
 bool TargetNotices::IsClosed(const Target& target) const {
@@ -64,6 +66,12 @@
                            : backoffs_.EndOf({target.name, target.started_at});
 }
 
+double TargetNotices::RateLimitOf(const Target& target) const {
+  return rate_limits_.empty()
+             ? kNoRateLimit
+             : rate_limits_.RateOf({target.name, target.started_at});
+}
+
 bool TargetNotices::RecordDeparture(const TargetStart& target,
                                     std::string_view name,
                                     std::string_view request_id,
@@ -122,8 +130,49 @@
   return end;
 }
 
-std::vector<TargetStart> TargetNotices::NextToAnnounce(TimePoint now) {
-  return departures_.NextToAnnounce(now);
+bool TargetNotices::RecordRateLimit(const TargetStart& target,
+                                    std::string_view name,
+                                    double rate,
+                                    std::string_view request_id,
+                                    TimePoint now) {
+  if (!rate_limits_.RecordFromResponse(target, rate, now)) {
+    return false;
+  }
+  spdlog::info("event=target_rate_limit target={} per_second={} request={}",
+               name, rate, Quoted(request_id));
+  metrics_
+      .Get("redwing_target_rate_limit_changes_total",
+           "Changes of the rate limits that targets name, in changes",
+           {{"told_by", "answer"}})
+      .Add();
+  return true;
+}
+
+bool TargetNotices::RecordRateLimitsFromPeer(
+    const std::vector<TargetRateReport>& reports,
+    std::string_view member,
+    TimePoint now) {
+  bool any_changed = false;
+  for (const TargetRateReport& report : reports) {
+    if (!rate_limits_.RecordFromPeer(report, now)) {
+      continue;
+    }
+    any_changed = true;
+    spdlog::info(
+        "event=target_rate_limit target={} per_second={} member={} age_ms={}",
+        report.target.Format(), report.rate, member, report.age_ms);
+    metrics_
+        .Get("redwing_target_rate_limit_changes_total",
+             "Changes of the rate limits that targets name, in changes",
+             {{"told_by", "peer"}})
+        .Add();
+  }
+  return any_changed;
+}
+
+void TargetNotices::Announce(Heartbeat* heartbeat, TimePoint now) {
+  heartbeat->departed = departures_.NextToAnnounce(now);
+  heartbeat->rate_limits = rate_limits_.NextToAnnounce(now);
 }
 
 }  // namespace redwing
--- a/src/routing/internal/target_notices.h
+++ b/src/routing/internal/target_notices.h
@@ -9,11 +9,13 @@
 
 #include "routing/target_backoffs.h"
 #include "routing/target_departures.h"
+#include "routing/target_rate_limits.h"
 
 namespace redwing {
 
 class Metrics;
 class SteeringConfig;
+struct Heartbeat;
 struct Target;
 
 // Which targets get no new requests, and until when: by operators' drains, the
@@ -32,6 +34,9 @@
   // for one.
   TimePoint BackoffEnd(const Target& target) const;
 
+  // Returns the rate limit of a target; kNoRateLimit if it has named none.
+  double RateLimitOf(const Target& target) const;
+
   // Records a departure reported in the response to a request. `name` is the
   // target's name for the log. Returns false if the departure was already
   // known.
@@ -50,8 +55,20 @@
                           Milliseconds asked,
                           std::string_view request_id,
                           TimePoint now);
-  // See TargetDepartures::NextToAnnounce().
-  std::vector<TargetStart> NextToAnnounce(TimePoint now);
+  // Records the rate limit that a target named in the response to a request.
+  // Returns whether it changes the limit.
+  bool RecordRateLimit(const TargetStart& target,
+                       std::string_view name,
+                       double rate,
+                       std::string_view request_id,
+                       TimePoint now);
+  // Records rate limits announced by another instance. Returns whether a limit
+  // has changed.
+  bool RecordRateLimitsFromPeer(const std::vector<TargetRateReport>& reports,
+                                std::string_view member,
+                                TimePoint now);
+  // Adds departures and rate limits to the next heartbeat.
+  void Announce(Heartbeat* heartbeat, TimePoint now);
 
  private:
   void Retain(TimePoint now);
@@ -62,6 +79,7 @@
   std::set<std::string, std::less<>> listed_as_leaving_;
   TargetDepartures departures_;
   TargetBackoffs backoffs_;
+  TargetRateLimits rate_limits_;
   TimePoint retained_at_;
 };
 
--- a/src/routing/internal/target_pool.cc
+++ b/src/routing/internal/target_pool.cc
@@ -34,6 +34,16 @@
   });
 }
 
+TargetPool::StatePtr TargetPool::Update(const Target& listed, TimePoint now) {
+  const StatePtr known = Find(listed);
+  if (known) {
+    known->SetTarget(listed, now);
+    return known;
+  }
+  targets.push_back(std::make_shared<TargetState>(listed, now));
+  return targets.back();
+}
+
 void TargetPool::KeepListed(const std::vector<Target>& listed) {
   targets.erase(std::remove_if(targets.begin(), targets.end(),
                                [&listed](const StatePtr& state) {
@@ -85,6 +95,19 @@
   return preferred.empty() ? others : preferred;
 }
 
+void TargetPool::ApplyPeerLoad(const std::string& peer,
+                               const std::vector<TargetLoadReport>& reports,
+                               TimePoint now) {
+  for (const StatePtr& state : targets) {
+    const auto work = std::find_if(reports.begin(), reports.end(),
+                                   [&state](const TargetLoadReport& report) {
+                                     return report.target_hash == state->hash();
+                                   });
+    state->SetPeerLoad(peer, work == reports.end() ? 0 : work->outstanding,
+                       now);
+  }
+}
+
 Milliseconds TargetPool::BackoffLeft(const std::string& name,
                                      TimePoint now) const {
   Milliseconds shortest = Milliseconds::max();
--- a/src/routing/internal/target_pool.h
+++ b/src/routing/internal/target_pool.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "membership/heartbeat.h"
 #include "routing/fair_queue.h"
 #include "routing/service_times.h"
 #include "routing/target_state.h"
@@ -23,6 +24,8 @@
   // target; null if there is none.
   StatePtr Find(const std::string& name) const;
   StatePtr Find(const Target& target) const;
+  // Returns the state of a listed target, creating it if it is new.
+  StatePtr Update(const Target& listed, TimePoint now);
   // Removes the targets that are not listed.
   void KeepListed(const std::vector<Target>& listed);
   bool HasUsable(TimePoint now) const;
@@ -35,6 +38,10 @@
   std::vector<TargetState*> Candidates(const SlotRequest& request,
                                        TimePoint now) const;
 
+  // Applies the load that another instance of the region reported.
+  void ApplyPeerLoad(const std::string& peer,
+                     const std::vector<TargetLoadReport>& reports,
+                     TimePoint now);
   // Returns the time until the first target accepts requests again if all are
   // in a backoff; with a name, the backoff of that target only. 0 if a target
   // accepts requests.
--- a/src/routing/internal/target_rate_limiter.cc
+++ b/src/routing/internal/target_rate_limiter.cc
@@ -1,6 +1,7 @@
 #include "routing/target_rate_limiter.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace redwing {
 
@@ -15,6 +16,17 @@
   updated_at_ = now;
 }
 
+Milliseconds TargetRateLimiter::WaitBehind(int ahead, TimePoint now) const {
+  constexpr double kMillisPerSecond = 1000;
+  const double missing = ahead + 1 - Tokens(now);
+  if (missing <= 0) {
+    return Milliseconds(0);
+  }
+  return rate_ > 0 ? Milliseconds(static_cast<int64_t>(
+                         std::ceil(missing / rate_ * kMillisPerSecond)))
+                   : kNoShareWait;
+}
+
 double TargetRateLimiter::Tokens(TimePoint now) const {
   return std::min(kMaxTokens, tokens_ + rate_ * ToSeconds(now - updated_at_));
 }
--- a/src/routing/internal/target_rate_share.cc
+++ b/src/routing/internal/target_rate_share.cc
@@ -6,6 +6,7 @@
 #include "framework/wire/digest.h"
 #include "membership/identity.h"
 #include "membership/membership.h"
+#include "routing/internal/target_leaders.h"
 #include "steering/target.h"
 
 namespace redwing {
@@ -22,12 +23,15 @@
 
 TargetRateShare::TargetRateShare(std::shared_ptr<Identity> identity,
                                  std::shared_ptr<Membership> membership,
-                                 bool led)
+                                 std::shared_ptr<TargetLeaders> leaders)
     : identity_(std::move(identity)),
       membership_(std::move(membership)),
-      led_(led) {}
+      leaders_(std::move(leaders)) {}
 
 double TargetRateShare::FractionFor(const Target& target) const {
+  if (leaders_ && !leaders_->IsOwn(target)) {
+    return 0;
+  }
   // Counts listed instances as well as usable ones: instances that are not
   // connected to each other must not both take the whole rate.
   const uint64_t own = SenderScore(identity_->name, target);
@@ -43,7 +47,7 @@
     usable += member.usable() ? 1 : 0;
     before += SenderScore(name, target) > own ? 1 : 0;
   }
-  if (led_) {
+  if (leaders_) {
     // Only the slot leader sends. While some listed instances are unreachable,
     // they may have elected another leader, so that only a fraction is safe.
     return static_cast<double>(usable) / static_cast<double>(senders);
--- a/src/routing/internal/target_rate_share.h
+++ b/src/routing/internal/target_rate_share.h
@@ -6,6 +6,7 @@
 namespace redwing {
 
 class Membership;
+class TargetLeaders;
 struct Identity;
 struct Target;
 
@@ -15,10 +16,11 @@
 class TargetRateShare {
  public:
   TargetRateShare() = default;
-  // `led` is true if only its slot leader sends requests to a target.
+  // `leaders` is null if other instances than its slot leader send requests to
+  // a target.
   TargetRateShare(std::shared_ptr<Identity> identity,
                   std::shared_ptr<Membership> membership,
-                  bool led);
+                  std::shared_ptr<TargetLeaders> leaders);
 
   // Returns this instance's fraction of the target's rate, from 0 to 1.
   double FractionFor(const Target& target) const;
@@ -26,7 +28,7 @@
  private:
   std::shared_ptr<Identity> identity_;
   std::shared_ptr<Membership> membership_;
-  bool led_ = false;
+  std::shared_ptr<TargetLeaders> leaders_;
 };
 
 }  // namespace redwing
--- a/src/routing/internal/target_state.cc
+++ b/src/routing/internal/target_state.cc
@@ -46,13 +46,27 @@
   target_ = target;
 }
 
-void TargetState::SetWarmUp(Milliseconds duration,
-                            double rate,
-                            double fraction,
-                            TimePoint now) {
+void TargetState::SetRateShare(double fraction, TimePoint now) {
+  rate_share_ = fraction;
+  SetWarmUp(warm_up_, warm_up_rate_, now);
+  SetRateLimit(rate_limit_, now);
+}
+
+void TargetState::SetWarmUp(Milliseconds duration, double rate, TimePoint now) {
   warm_up_ = duration;
   warm_up_rate_ = rate;
-  warm_up_limiter_.SetRate(rate, fraction, now);
+  warm_up_limiter_.SetRate(rate, rate_share_, now);
+}
+
+void TargetState::SetRateLimit(double rate, TimePoint now) {
+  rate_limit_ = rate;
+  // Without a limit no tokens are saved for the next one.
+  rate_limiter_.SetRate(rate == kNoRateLimit ? 0 : rate, rate_share_, now);
+}
+
+Milliseconds TargetState::RateLimitWait(int ahead, TimePoint now) const {
+  return rate_limit_ == kNoRateLimit ? Milliseconds(0)
+                                     : rate_limiter_.WaitBehind(ahead, now);
 }
 
 void TargetState::SetClosed(bool closed, TimePoint now) {
@@ -124,7 +138,8 @@
 bool TargetState::Available(TimePoint now) const {
   const bool limited = cold(now) && warm_up_rate_ > 0;
   if (!Usable(now) || now < queue_until_ ||
-      (limited && !warm_up_limiter_.CanSpend(now))) {
+      (limited && !warm_up_limiter_.CanSpend(now)) ||
+      RateLimitWait(0, now) > Milliseconds(0)) {
     return false;
   }
   // Requires a free slot by the load known here.
@@ -149,6 +164,9 @@
   if (cold(now)) {
     warm_up_limiter_.Spend(now);
   }
+  if (rate_limit_ != kNoRateLimit) {
+    rate_limiter_.Spend(now);
+  }
   if (outstanding_ == 0) {
     progress_at_ = now;
   }
--- a/src/routing/routing_module.h
+++ b/src/routing/routing_module.h
@@ -12,6 +12,7 @@
 
 class LedPlacement;
 class LocalTargetRouter;
+class TargetLeaders;
 class WeightedLookup;
 
 // Module for the lookup of entry instances and for the choice of targets.
@@ -37,6 +38,8 @@
   TargetRouterOptions options_;
   std::shared_ptr<WeightedLookup> lookup_;
   std::shared_ptr<LocalTargetRouter> router_;
+  // Null if several instances send requests to a target.
+  std::shared_ptr<TargetLeaders> leaders_;
   std::shared_ptr<LedPlacement> placement_;
 };
 
--- a/src/routing/target_departures.h
+++ b/src/routing/target_departures.h
@@ -1,12 +1,12 @@
 #ifndef REDWING_ROUTING_TARGET_DEPARTURES_H_
 #define REDWING_ROUTING_TARGET_DEPARTURES_H_
 
-#include <deque>
 #include <functional>
 #include <vector>
 
 #include "framework/kernel/clock.h"
 #include "membership/target_start.h"
+#include "routing/target_announcements.h"
 #include "routing/target_memory.h"
 
 namespace redwing {
@@ -18,12 +18,6 @@
 // leave one after another while the platform's list is late or unreadable.
 class TargetDepartures {
  public:
-  // For how long an instance that received a departure in a response announces
-  // it to others.
-  static constexpr std::chrono::seconds kAnnounceFor{30};
-  // Upper bound on departures in one heartbeat.
-  static constexpr size_t kMaxPerMessage = 16;
-
   // Records a departure that this instance received in a response, and starts
   // announcing it. Returns false if it was already known.
   bool RecordFromResponse(const TargetStart& target, TimePoint now);
@@ -31,8 +25,7 @@
   // again. Returns false if it was already known.
   bool RecordFromPeer(const TargetStart& target, TimePoint now);
   bool HasLeft(const TargetStart& target) const;
-  // Returns the departures to put into the next heartbeat. If there are more
-  // than kMaxPerMessage, successive heartbeats carry them in rotation.
+  // Returns the departures to put into the next heartbeat.
   std::vector<TargetStart> NextToAnnounce(TimePoint now);
   // See TargetMemory::Retain().
   void Retain(const std::function<bool(uint64_t)>& is_listed, TimePoint now);
@@ -40,17 +33,11 @@
   bool empty() const { return left_.empty(); }
 
  private:
-  struct Announced {
-    TargetStart target;
-    TimePoint since;
-  };
-
   bool Record(const TargetStart& target, TimePoint now);
 
   TargetMemory<bool> left_;
-  // Departures received in responses and announced to others, oldest first.
-  std::deque<Announced> announced_;
-  size_t next_announced_ = 0;
+  // Departures received in responses.
+  TargetAnnouncements announced_;
 };
 
 }  // namespace redwing
--- a/src/routing/target_rate_limiter.h
+++ b/src/routing/target_rate_limiter.h
@@ -16,8 +16,14 @@
   void SetRate(double rate, double fraction, TimePoint now);
 
   bool CanSpend(TimePoint now) const { return Tokens(now) >= 1; }
+  // Returns the time until one more token can be spent after `ahead` others;
+  // kNoShareWait if this instance has no fraction of the rate.
+  Milliseconds WaitBehind(int ahead, TimePoint now) const;
   void Spend(TimePoint now);
 
+  // Time after which another instance has taken over the rate, or this one has.
+  static constexpr Milliseconds kNoShareWait{1'000};
+
  private:
   static constexpr double kMaxTokens = 1;
 
--- a/src/routing/target_router.h
+++ b/src/routing/target_router.h
@@ -50,6 +50,12 @@
   virtual void RecordBackoff(const Target& target,
                              Milliseconds asked,
                              std::string_view request_id) = 0;
+  // Records the rate limit that a target of this region named in a response, in
+  // requests per second of all instances together; kNoRateLimit if the response
+  // named none.
+  virtual void RecordRateLimit(const Target& target,
+                               double rate,
+                               std::string_view request_id) = 0;
 
   // Returns whether this instance's region has a target of the service that
   // accepts requests.
--- a/src/routing/target_state.h
+++ b/src/routing/target_state.h
@@ -10,6 +10,7 @@
 #include "routing/recent_keys.h"
 #include "routing/target_load.h"
 #include "routing/target_rate_limiter.h"
+#include "routing/target_rate_limits.h"
 #include "steering/target.h"
 
 namespace redwing {
@@ -33,14 +34,19 @@
  public:
   TargetState(const Target& target, TimePoint now);
 
-  // Sets the duration of a cold target's warm-up, the request rate that it
-  // bears meanwhile, in requests per second, and this instance's fraction of
-  // that rate, from 0 to 1.
-  void SetWarmUp(Milliseconds duration,
-                 double rate,
-                 double fraction,
-                 TimePoint now);
+  // Sets this instance's fraction, from 0 to 1, of the request rates that the
+  // target accepts from all instances together.
+  void SetRateShare(double fraction, TimePoint now);
+  // Sets the duration of a cold target's warm-up and the request rate that it
+  // bears meanwhile, in requests per second.
+  void SetWarmUp(Milliseconds duration, double rate, TimePoint now);
   bool cold(TimePoint now) const { return now < cold_until_; }
+  // Sets the rate limit that the target named, in requests per second;
+  // kNoRateLimit ends it.
+  void SetRateLimit(double rate, TimePoint now);
+  // Returns the time until the rate limit admits a request behind `ahead`
+  // waiting ones; 0 if the target has no limit.
+  Milliseconds RateLimitWait(int ahead, TimePoint now) const;
 
   const Target& target() const { return target_; }
   const boost::asio::ip::tcp::endpoint& endpoint() const { return endpoint_; }
@@ -134,10 +140,13 @@
   bool returning_ = false;
   // Time until which the target is assumed to have a queue of its own.
   TimePoint queue_until_;
+  double rate_share_ = 0;
   Milliseconds warm_up_{0};
   double warm_up_rate_ = 0;
   TimePoint cold_until_;
   TargetRateLimiter warm_up_limiter_;
+  double rate_limit_ = kNoRateLimit;
+  TargetRateLimiter rate_limiter_;
   RecentKeys recent_keys_;
   double latency_ms_ = 0;
   double slowness_ = 1;
--- a/src/routing/tests/candidate_choice_test.cc
+++ b/src/routing/tests/candidate_choice_test.cc
@@ -45,6 +45,17 @@
   CHECK(ChooseCandidate(Times(200, 640), kLongWait * 10, &candidates) == 1);
 }
 
+TEST_CASE("a target whose rate limit admits nothing in time is passed over") {
+  std::vector<TargetCandidate> candidates = {Near(9, 0), Near(5, 3)};
+  candidates[0].rate_wait = kLongWait * 2;
+  // The other one becomes the key's own target, for which the request waits.
+  CHECK(ChooseCandidate(Times(200, 640), kLongWait, &candidates) == 1);
+  candidates[0].rate_wait = 50;
+  CHECK(ChooseCandidate(Times(200, 640), kLongWait, &candidates) == 0);
+  candidates[0].rate_wait = candidates[1].rate_wait = kLongWait * 2;
+  CHECK_FALSE(ChooseCandidate(Times(200, 640), kLongWait, &candidates));
+}
+
 TEST_CASE("a target that a key has visited counts as warm") {
   std::vector<TargetCandidate> candidates = {Near(9, 3), Near(5, 0)};
   candidates[1].visited = true;
--- a/src/routing/tests/target_departures_test.cc
+++ b/src/routing/tests/target_departures_test.cc
@@ -64,7 +64,7 @@
   std::set<uint64_t> announced;
   for (int message = 0; message < 8; ++message) {
     const std::vector<TargetStart> next = departures.NextToAnnounce(kStart);
-    CHECK(next.size() <= TargetDepartures::kMaxPerMessage);
+    CHECK(next.size() <= TargetAnnouncements::kMaxPerMessage);
     for (const TargetStart& target : next) {
       announced.insert(target.name_hash);
     }
@@ -72,7 +72,7 @@
   CHECK(announced.size() == kLeft);
   CHECK(announced.count(TargetStart("from_peer", 1).name_hash) == 0);
   CHECK(departures
-            .NextToAnnounce(kStart + TargetDepartures::kAnnounceFor +
+            .NextToAnnounce(kStart + TargetAnnouncements::kAnnounceFor +
                             Milliseconds(1))
             .empty());
 }
