--- a/testing/platform_stand_in/platform_stand_in.cc
+++ b/testing/platform_stand_in/platform_stand_in.cc
@@ -20,7 +20,6 @@
 using nlohmann::json;
 
 constexpr int kRegions = 2;
-constexpr int kTargetsPerRegion = 2;
 constexpr int kSlots = 4;
 // Hosts of the deployment's own part of the loopback network.
 constexpr int kStoreHost = 250;
@@ -38,7 +37,8 @@
 
 }  // namespace
 
-PlatformStandIn::PlatformStandIn(int instances) : world_(*new World) {
+PlatformStandIn::PlatformStandIn(int instances, int targets)
+    : world_(*new World) {
   const int process = getpid();
   network_ = fmt::format("127.{}.{}", 100 + process / kHostsPerNetwork % 100,
                          process % kHostsPerNetwork);
@@ -48,7 +48,7 @@
   std::filesystem::create_directories(folder_);
   world_.store = std::make_unique<StoreStandIn>(world_.io);
   store_address_ = world_.store->Listen(Ip(kStoreHost));
-  for (int i = 0; i < kRegions * kTargetsPerRegion; ++i) {
+  for (int i = 0; i < targets; ++i) {
     world_.targets.push_back(std::make_unique<TargetStandIn>(
         world_.io, fmt::format("i-{}", i), kSlots));
     target_addresses_.push_back(
@@ -101,6 +101,28 @@
                      {"born", born}});
 }
 
+void PlatformStandIn::CutFromTargets(const std::vector<int>& instances,
+                                     OpenConnections open) {
+  std::vector<std::string> sources;
+  sources.reserve(instances.size());
+  for (const int index : instances) {
+    sources.push_back(Ip(index + 1));
+  }
+  OnLoop([&]() {
+    for (const std::string& address : target_addresses_) {
+      DropPackets(TcpEndpoint(address), sources, open);
+    }
+  });
+}
+
+void PlatformStandIn::ReconnectTargets() {
+  OnLoop([&]() {
+    for (const std::string& address : target_addresses_) {
+      AcceptPackets(TcpEndpoint(address));
+    }
+  });
+}
+
 int PlatformStandIn::RunsOf(const std::string& request_id) {
   int count = 0;
   OnLoop([&]() {
--- a/testing/platform_stand_in/platform_stand_in.h
+++ b/testing/platform_stand_in/platform_stand_in.h
@@ -11,6 +11,7 @@
 
 #include "framework/http/http_client.h"
 #include "testing/harness/process.h"
+#include "testing/platform_stand_in/source_filter.h"
 #include "testing/platform_stand_in/store_stand_in.h"
 #include "testing/platform_stand_in/target_stand_in.h"
 
@@ -21,8 +22,8 @@
 // failure domain each.
 class PlatformStandIn {
  public:
-  // `instances` entries, dealt over the regions in turn.
-  explicit PlatformStandIn(int instances);
+  // `instances` entries and `targets` targets, dealt over the regions in turn.
+  explicit PlatformStandIn(int instances, int targets = 4);
   ~PlatformStandIn();
   PlatformStandIn(const PlatformStandIn&) = delete;
   PlatformStandIn& operator=(const PlatformStandIn&) = delete;
@@ -38,6 +39,9 @@
             const std::string& state,
             const std::string& service = "svc",
             int64_t born = 1000);
+  // Cuts the links between some instances and all targets, or restores them.
+  void CutFromTargets(const std::vector<int>& instances, OpenConnections open);
+  void ReconnectTargets();
   // Sum of all targets' runs of a request.
   int RunsOf(const std::string& request_id);
   size_t RunCount();
