Let peers lead targets that an instance has lost its links to (RECOVER)

What callers saw: at an instance cut off from all targets, and at any other that hands requests to it, requests hang for 1.5 s and fail with 503 without a time to come back, or hang to their deadline.

Cause: an instance that leads targets kept the lead whatever its links; others sent it requests, each failure was put down to the target (ejections, half of a service's at most, cold afterwards), and the retries of requests that had never been sent used up the retry budget.

Change: an attempt whose connection cannot be opened, or breaks before the response, makes the instance connect to three targets of its region (TargetLinks, LinkChecker). If none accepts within 500 ms, its own links are lost: it refuses to lead, tells all members at once and with each heartbeat, rejects what waits, and forwards its callers' requests to peers; it checks each 500 ms until a target accepts. A target's leader is elected from those of its failure domain that reach targets, else from those of its region. Ejections from that time are taken back. Requests that were not sent do not draw on the retry budget, since nothing arrived anywhere, and a refusal names when to come back. Connections to targets give up after 500 ms of opening, and 1 s after data or a keep-alive probe without acknowledgement, so that a dead link is noticed without waiting for a deadline.

--- a/src/delivery/internal/request_carrier.cc
+++ b/src/delivery/internal/request_carrier.cc
@@ -25,6 +25,8 @@
 // Lower bound of the random Retry-After of a request that was shed because of
 // processor overload; the upper bound is twice this time.
 constexpr Milliseconds kShedRetryAfter{200};
+// Lower bound of the Retry-After of a request that reached no target.
+constexpr Milliseconds kUnreachableRetryAfter{500};
 // Log lines on shed requests: rate per second and burst. The metric counts all
 // of them.
 constexpr double kShedLogLinesPerSecond = 20;
@@ -258,6 +260,8 @@
     case Errc::kQueueFull:
       return RetryAfter(failure.retry_after,
                         delivery.context.deadline - Clock::now(), random_value);
+    case Errc::kTargetUnreachable:
+      return SpreadRetryAfter(kUnreachableRetryAfter, random_value);
     case Errc::kTargetBackoff:
       return SpreadRetryAfter(failure.retry_after, random_value);
     default:
--- a/src/delivery/internal/retry_rules.cc
+++ b/src/delivery/internal/retry_rules.cc
@@ -6,13 +6,13 @@
 namespace redwing {
 
 namespace {
-constexpr std::array<Errc, 6> kRefusedBeforeSending = {
-    Errc::kNoTarget,   Errc::kQueueFull, Errc::kTargetBackoff,
-    Errc::kRegionFull, Errc::kLinkFull,  Errc::kPeerUnreachable};
-constexpr std::array<Errc, 7> kWorthRetry = {
-    Errc::kTargetShed,   Errc::kTargetMoved,   Errc::kTargetUnreachable,
-    Errc::kTargetBroken, Errc::kTargetTimeout, Errc::kNotReady,
-    Errc::kLeaving};
+constexpr std::array<Errc, 7> kRefusedBeforeSending = {
+    Errc::kNoTarget,         Errc::kQueueFull, Errc::kTargetBackoff,
+    Errc::kRegionFull,       Errc::kLinkFull,  Errc::kPeerUnreachable,
+    Errc::kTargetUnreachable};
+constexpr std::array<Errc, 6> kWorthRetry = {
+    Errc::kTargetShed,    Errc::kTargetMoved, Errc::kTargetBroken,
+    Errc::kTargetTimeout, Errc::kNotReady,    Errc::kLeaving};
 
 template <size_t kSize>
 bool Contains(const std::array<Errc, kSize>& list, Errc errc) {
--- a/src/delivery/internal/upstream_attempt.cc
+++ b/src/delivery/internal/upstream_attempt.cc
@@ -29,6 +29,10 @@
 constexpr Milliseconds kBodyIdleTimeout{10'000};
 constexpr Milliseconds kMaxBodyTime{600'000};
 constexpr unsigned kMisdirectedStatus = 421;
+// Targets are a short round trip away, and there are others: a request that
+// has not been sent moves to another target before a lost packet is sent again.
+constexpr LinkTimeouts kTargetTimeouts = {Milliseconds(500),
+                                          Milliseconds(1'000)};
 // Retry-After for a request that a target shed without naming a time.
 constexpr Milliseconds kShedRetryAfter{1'000};
 }  // namespace
@@ -37,8 +41,9 @@
                                   HttpExchange& exchange,
                                   Cancellation& cancellation,
                                   const Yield& yield) {
-  const Result<ConnectionPool::ConnectionPtr> acquired =
-      pool_.Acquire(plan_.endpoint, plan_.deadline, yield);
+  const Result<ConnectionPool::ConnectionPtr> acquired = pool_.Acquire(
+      plan_.endpoint, plan_.deadline,
+      plan_.to_instance ? LinkTimeouts() : kTargetTimeouts, yield);
   if (!acquired) {
     return acquired.error();
   }
@@ -136,6 +141,7 @@
   if (!read) {
     return read.error();
   }
+  responded_ = true;
   const ResponseHeader& header = connection_->response();
   digest_ =
       ContentDigest::Parse(StdView(header[BeastView(ContentDigest::kField)]));
--- a/src/delivery/internal/upstream_attempt.h
+++ b/src/delivery/internal/upstream_attempt.h
@@ -84,6 +84,8 @@
                    const Yield& yield);
 
   std::optional<StoredResponse>& stored_response() { return stored_response_; }
+  // Returns whether the header of a response arrived.
+  bool responded() const { return responded_; }
   // Returns whether the upstream's response was truncated after its header.
   bool truncated() const { return truncated_; }
   // Returns whether the response is a server error.
@@ -151,6 +153,7 @@
   // Digest from the response's header; std::nullopt if it has none.
   std::optional<ContentDigest> digest_;
   std::optional<HopDigest> hop_digest_;
+  bool responded_ = false;
   bool truncated_ = false;
   bool server_error_ = false;
   std::optional<TargetLoad> load_;
--- a/src/delivery/internal/upstream_sender.cc
+++ b/src/delivery/internal/upstream_sender.cc
@@ -66,6 +66,8 @@
       return AttemptOutcome::kMoved;
     case Errc::kTargetUnreachable:
     case Errc::kTargetBroken:
+      return attempt.responded() ? AttemptOutcome::kFailed
+                                 : AttemptOutcome::kDisconnected;
     case Errc::kTargetTimeout:
       return AttemptOutcome::kFailed;
     default:
--- a/src/framework/http/connection_pool.h
+++ b/src/framework/http/connection_pool.h
@@ -9,6 +9,7 @@
 
 #include "framework/errors/result.h"
 #include "framework/http/http_connection.h"
+#include "framework/http/link_timeouts.h"
 #include "framework/kernel/clock.h"
 
 namespace redwing {
@@ -30,6 +31,7 @@
   // Returns an idle connection or opens one. Failures are kNotRun.
   Result<ConnectionPtr> Acquire(const boost::asio::ip::tcp::endpoint& endpoint,
                                 TimePoint deadline,
+                                const LinkTimeouts& timeouts,
                                 const Yield& yield);
   // Takes a connection back, closing it unless it is reusable.
   void Release(const boost::asio::ip::tcp::endpoint& endpoint,
--- a/src/framework/http/http_connection.h
+++ b/src/framework/http/http_connection.h
@@ -26,6 +26,10 @@
                        TimePoint deadline,
                        const Yield& yield);
 
+  // Ends the connection with an error when the peer does not acknowledge data
+  // or a keep-alive probe for this long; 0 leaves it to the system.
+  void SetAcknowledgementTimeout(Milliseconds timeout);
+
   // Time that opening the connection took; nothing after its first exchange.
   std::optional<Milliseconds> fresh_connect_time() const {
     return exchanges_ <= 1 ? connect_time_ : std::nullopt;
--- a/src/framework/http/internal/connection_pool.cc
+++ b/src/framework/http/internal/connection_pool.cc
@@ -7,8 +7,6 @@
 namespace redwing {
 
 namespace {
-// Longer than any retransmission of the first SYN to a live target.
-constexpr Milliseconds kConnectTimeout{1500};
 constexpr Milliseconds kIdleTime{30'000};
 }  // namespace
 
@@ -24,6 +22,7 @@
 Result<ConnectionPool::ConnectionPtr> ConnectionPool::Acquire(
     const boost::asio::ip::tcp::endpoint& endpoint,
     TimePoint deadline,
+    const LinkTimeouts& timeouts,
     const Yield& yield) {
   std::vector<Idle>& idle = idle_[endpoint];
   while (!idle.empty()) {
@@ -40,11 +39,12 @@
       .Add();
   ConnectionPtr connection = std::make_shared<HttpConnection>(io_, sockets_);
   const Result<void> connected = connection->Connect(
-      endpoint, std::min<TimePoint>(deadline, Clock::now() + kConnectTimeout),
+      endpoint, std::min<TimePoint>(deadline, Clock::now() + timeouts.connect),
       yield);
   if (!connected) {
     return connected.error();
   }
+  connection->SetAcknowledgementTimeout(timeouts.acknowledgement);
   connection->ExpiresAt(deadline);
   return connection;
 }
--- a/src/framework/http/internal/http_connection.cc
+++ b/src/framework/http/internal/http_connection.cc
@@ -1,14 +1,26 @@
 #include "framework/http/http_connection.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <limits>
 
 #include "framework/http/socket_registry.h"
+#include "framework/log/log.h"
 
 namespace redwing {
 
 namespace {
+using boost::asio::ip::tcp;
+template <int kOption>
+using TcpOption =
+    boost::asio::detail::socket_option::integer<IPPROTO_TCP, kOption>;
+using KeepAliveIdle = TcpOption<TCP_KEEPIDLE>;
+using KeepAliveInterval = TcpOption<TCP_KEEPINTVL>;
+using UserTimeout = TcpOption<TCP_USER_TIMEOUT>;
+constexpr int kKeepAliveSeconds = 1;
 constexpr uint32_t kResponseHeaderLimit = 64 * 1024;  // bytes
 // Beast reads as much as the buffer has room for: 512 bytes unless told.
 constexpr size_t kHeaderBuffer = 2 * 1024;  // bytes
@@ -42,6 +54,22 @@
   return boost::outcome_v2::success();
 }
 
+void HttpConnection::SetAcknowledgementTimeout(Milliseconds timeout) {
+  if (timeout == Milliseconds(0)) {
+    return;
+  }
+  boost::system::error_code ec;
+  tcp::socket& socket = socket_.socket();
+  socket.set_option(boost::asio::socket_base::keep_alive(true), ec);
+  socket.set_option(KeepAliveIdle(kKeepAliveSeconds), ec);
+  socket.set_option(KeepAliveInterval(kKeepAliveSeconds), ec);
+  socket.set_option(UserTimeout(static_cast<int>(timeout.count())), ec);
+  if (ec) {
+    spdlog::debug("event=socket_option_refused reason={}",
+                  Quoted(ec.message()));
+  }
+}
+
 Result<void> HttpConnection::BeginRequest(RequestHeader header,
                                           const char* data,
                                           size_t size,
--- a/src/membership/heartbeat.h
+++ b/src/membership/heartbeat.h
@@ -127,6 +127,8 @@
   std::vector<TargetStart> departed;
   // Rate limits of some targets that named them to the sender.
   std::vector<TargetRateReport> rate_limits;
+  // False while the sender has lost its links to targets.
+  bool reaches_targets = true;
 
   template <typename Archive>
   void serialize(Archive& archive) {
@@ -134,6 +136,7 @@
             incarnation_seen, state_digest, state_sum, withdrawn_hash,
             load_permille, key_epoch, work, placed, relayed, departed);
     ArchiveAppended(archive, rate_limits);
+    ArchiveAppended(archive, reaches_targets);
   }
 };
 
--- a/src/membership/internal/heartbeat_membership.cc
+++ b/src/membership/internal/heartbeat_membership.cc
@@ -323,6 +323,7 @@
   member.last_seen = Clock::now();
   member.last_direct_heartbeat = member.last_seen;
   UpdateSyncTime(member, heartbeat);
+  UpdateTargetLinks(member, heartbeat.reaches_targets);
   UpdateState(member,
               heartbeat.leaving ? MemberState::kLeaving : MemberState::kAlive);
   ApplyRelayed(member, heartbeat);
@@ -354,6 +355,17 @@
   on_change_.Notify(member);
 }
 
+void HeartbeatMembership::UpdateTargetLinks(Member& member,
+                                            bool reaches_targets) {
+  if (member.reaches_targets == reaches_targets) {
+    return;
+  }
+  spdlog::info("event=member_changed member={} reaches_targets={}", member.name,
+               reaches_targets);
+  member.reaches_targets = reaches_targets;
+  on_change_.Notify(member);
+}
+
 void HeartbeatMembership::ApplyRelayed(const Member& reporter,
                                        const Heartbeat& heartbeat) {
   const TimePoint now = Clock::now();
--- a/src/membership/internal/heartbeat_membership.h
+++ b/src/membership/internal/heartbeat_membership.h
@@ -63,6 +63,7 @@
   void Tick();
   void HandleHeartbeat(const Envelope& envelope);
   void UpdateSyncTime(Member& member, const Heartbeat& heartbeat);
+  void UpdateTargetLinks(Member& member, bool reaches_targets);
   void UpdateState(Member& member, MemberState state);
   void MarkSuspects(TimePoint now);
   // Applies the heartbeats that a member relays for others of its region.
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -32,6 +32,8 @@
   bool listed = false;
   // True if it has a configuration, so that callers may use it.
   bool ready = false;
+  // False while it has lost its links to targets.
+  bool reaches_targets = true;
   // Time of its last heartbeat, received directly or relayed.
   TimePoint last_seen;
   // Time of the last heartbeat received directly from it. Only this time is
@@ -54,6 +56,8 @@
   uint64_t heartbeat_number_to_echo = 0;
 
   bool usable() const { return state == MemberState::kAlive; }
+  // Returns whether requests for targets may be forwarded to it.
+  bool may_lead() const { return usable() && reaches_targets; }
 };
 
 }  // namespace redwing
--- a/src/routing/internal/local_target_router.cc
+++ b/src/routing/internal/local_target_router.cc
@@ -8,15 +8,14 @@
 #include "framework/metrics/metrics.h"
 #include "membership/identity.h"
 #include "membership/membership.h"
+#include "routing/internal/target_leaders.h"
 
 namespace redwing {
 
 namespace {
 // Peers' finished requests and new tokens are not signalled, but polled.
 constexpr Milliseconds kWakeInterval{5};
-constexpr double kPercent = 100;
 constexpr char kBackoffReason[] = "the target asked for a backoff";
-
 }  // namespace
 
 LocalTargetRouter::LocalTargetRouter(boost::asio::io_context& io,
@@ -33,6 +32,7 @@
       notices_(metrics),
       random_(std::random_device{}()),
       wake_(io, kWakeInterval, [this]() { ServeAllWaiters(); }),
+      links_(io, sockets, metrics),
       health_(io, sockets) {}
 
 LocalTargetRouter::~LocalTargetRouter() = default;
@@ -42,7 +42,8 @@
                                std::shared_ptr<TargetLeaders> leaders) {
   membership_ = std::move(membership);
   config_ = std::move(config);
-  rate_share_ = TargetRateShare(identity_, membership_, std::move(leaders));
+  leaders_ = std::move(leaders);
+  rate_share_ = TargetRateShare(identity_, membership_, leaders_);
   notices_.Attach(config_);
   config_->on_change().Subscribe([this]() { ApplyConfig(); });
   membership_->AddHeartbeatSource(
@@ -76,6 +77,8 @@
 }
 
 void LocalTargetRouter::Start() {
+  links_.Start([this]() { return OpenEndpoints(pools_); },
+               [this]() { ApplyLinks(); });
   if (options_.polls_health) {
     health_.Start([this]() { return AllStates(pools_); });
   }
@@ -83,11 +86,15 @@
 
 void LocalTargetRouter::Stop() {
   wake_.Stop();
+  links_.Stop();
   health_.Stop();
 }
 
 Result<TargetLease> LocalTargetRouter::AcquireSlot(const SlotRequest& request,
                                                    const Yield& yield) {
+  if (!links_.up()) {
+    return LinkChecker::LostFailure();
+  }
   UpdateRateShares();
   const auto found = pools_.find(request.service);
   const TimePoint now = Clock::now();
@@ -182,16 +189,12 @@
 void LocalTargetRouter::AnnounceNotices(Heartbeat* heartbeat) {
   const TimePoint now = Clock::now();
   notices_.Announce(heartbeat, now);
-  if (heartbeat->rate_limits.empty()) {
-    return;
-  }
-  for (const StatePtr& state : AllStates(pools_)) {
-    const TargetStart start(state->target().name, state->target().started_at);
-    for (TargetRateReport& report : heartbeat->rate_limits) {
-      if (report.target == start) {
-        report.wait_ms =
-            static_cast<uint32_t>(RateLimitWait(*state, now).count());
-      }
+  heartbeat->reaches_targets = links_.up();
+  for (TargetRateReport& report : heartbeat->rate_limits) {
+    const StatePtr state = Find(pools_, report.target);
+    if (state) {
+      report.wait_ms =
+          static_cast<uint32_t>(RateLimitWait(*state, now).count());
     }
   }
 }
@@ -201,6 +204,21 @@
   return state.RateLimitWait(WaitingFor(state.target().name), now);
 }
 
+void LocalTargetRouter::ApplyLinks() {
+  for (const auto& [name, pool] : pools_) {
+    pool.ForgetFailures();
+    if (!links_.up()) {
+      pool.RejectAllWaiters();
+    }
+  }
+  if (leaders_) {
+    leaders_->SetMayLead(links_.up());
+  }
+  rate_shares_stale_ = true;
+  on_change_.Notify();
+  membership_->SendHeartbeatToAll();
+}
+
 void LocalTargetRouter::CloseDeparted() {
   const TimePoint now = Clock::now();
   for (auto& [name, pool] : pools_) {
@@ -211,12 +229,13 @@
     }
     pool.RejectWaiters(now);
   }
-  on_departure_.Notify();
+  on_change_.Notify();
 }
 
 bool LocalTargetRouter::HasUsableTarget(std::string_view service) const {
   const auto pool = pools_.find(service);
-  return pool != pools_.end() && pool->second.HasUsable(Clock::now());
+  return links_.up() && pool != pools_.end() &&
+         pool->second.HasUsable(Clock::now());
 }
 
 Milliseconds LocalTargetRouter::TypicalRunTime(
@@ -285,13 +304,7 @@
         continue;
       }
       heartbeat->work.push_back(
-          {state->hash(), static_cast<uint16_t>(state->outstanding()),
-           static_cast<uint16_t>(WaitingFor(state->target().name)),
-           static_cast<uint16_t>(
-               std::min<double>(state->slowness() * kPercent, UINT16_MAX)),
-           state->Usable(now),
-           static_cast<uint32_t>(std::min<int64_t>(
-               state->BackoffLeft(now).count(), UINT32_MAX))});
+          ReportOf(*state, WaitingFor(state->target().name), now));
     }
   }
 }
@@ -365,6 +378,9 @@
     return MakeLease(waiter->granted, waiter->request);
   }
   pool.queue.Remove(waiter);
+  if (waiter->rejected && !links_.up()) {
+    return LinkChecker::LostFailure();
+  }
   if (waiter->rejected) {
     const Milliseconds backoff = pool.BackoffLeft(target, Clock::now());
     return backoff > Milliseconds(0)
@@ -420,33 +436,17 @@
     pool.times.Learn(warm, latency);
   }
   const bool bad = outcome == AttemptOutcome::kFailed ||
+                   outcome == AttemptOutcome::kDisconnected ||
                    outcome == AttemptOutcome::kErrorResponse;
+  if (outcome == AttemptOutcome::kDisconnected) {
+    links_.RecordFailure();
+  }
   if (bad && state->WantsEjection()) {
-    MaybeEject(pool, state, now);
+    pool.MaybeEject(state, options_.max_ejected_fraction, metrics_, now);
   }
   ServeWaiters(pool, now);
 }
 
-void LocalTargetRouter::MaybeEject(TargetPool& pool,
-                                   const StatePtr& state,
-                                   TimePoint now) {
-  const auto ejected =
-      std::count_if(pool.targets.begin(), pool.targets.end(),
-                    [now](const StatePtr& s) { return s->Ejected(now); });
-  const double allowed =
-      options_.max_ejected_fraction * static_cast<double>(pool.targets.size());
-  if (static_cast<double>(ejected + 1) > allowed) {
-    return;
-  }
-  state->Eject(now);
-  spdlog::warn("event=target_ejected target={} already_ejected={} of={}",
-               state->target().name, ejected, pool.targets.size());
-  metrics_
-      .Get("redwing_target_ejections_total", "Ejections of targets",
-           {{"target", state->target().name}})
-      .Add();
-}
-
 void LocalTargetRouter::ServeWaiters(TargetPool& pool, TimePoint now) {
   while (ServeNext(pool, now)) {
   }
--- a/src/routing/internal/local_target_router.h
+++ b/src/routing/internal/local_target_router.h
@@ -10,6 +10,7 @@
 
 #include "framework/kernel/periodic_task.h"
 #include "routing/internal/health_poller.h"
+#include "routing/internal/link_checker.h"
 #include "routing/internal/target_notices.h"
 #include "routing/internal/target_pools.h"
 #include "routing/internal/target_rate_share.h"
@@ -87,8 +88,9 @@
     return notices_.RateLimitOf(target) != kNoRateLimit;
   }
   // Notifies that a target's departure was received in a response or from
-  // another instance.
-  Channel<>& on_departure() { return on_departure_; }
+  // another instance, or that this instance lost or regained its links to
+  // targets.
+  Channel<>& on_change() { return on_change_; }
 
  private:
   using StatePtr = TargetPool::StatePtr;
@@ -102,6 +104,8 @@
   // Recomputes this instance's fractions of the targets' rates, if the fleet
   // has changed.
   void UpdateRateShares();
+  // Applies that the links to targets were lost or are back.
+  void ApplyLinks();
   // Adds what targets reported in responses to a heartbeat.
   void AnnounceNotices(Heartbeat* heartbeat);
   StatePtr TryChoose(TargetPool& pool,
@@ -119,7 +123,6 @@
                   AttemptOutcome outcome,
                   Milliseconds latency,
                   bool warm);
-  void MaybeEject(TargetPool& pool, const StatePtr& state, TimePoint now);
   // Assigns free slots to waiting requests whose tokens suffice.
   void ServeWaiters(TargetPool& pool, TimePoint now);
   // Serves the first workspace that can be served. Returns whether there was
@@ -139,13 +142,15 @@
   std::shared_ptr<SteeringConfig> config_;
   TargetPools pools_;
   TargetNotices notices_;
-  Channel<> on_departure_;
+  Channel<> on_change_;
   // Number of requests that wait for one target only, by name of the target.
   std::map<std::string, int> waiting_for_;
   std::mt19937_64 random_;
   // Runs while requests wait for a slot.
   PeriodicTask wake_;
   bool waking_ = false;
+  LinkChecker links_;
+  std::shared_ptr<TargetLeaders> leaders_;
   TargetRateShare rate_share_;
   bool rate_shares_stale_ = true;
   HealthPoller health_;
--- a/src/routing/internal/placement_targets.cc
+++ b/src/routing/internal/placement_targets.cc
@@ -24,7 +24,7 @@
   config_->on_change().Subscribe([this]() { lists_.clear(); });
   membership->on_change().Subscribe(
       [this](const Member& /*member*/) { lists_.clear(); });
-  router_->on_departure().Subscribe([this]() { lists_.clear(); });
+  router_->on_change().Subscribe([this]() { lists_.clear(); });
 }
 
 const std::vector<PlacementTarget>* PlacementTargets::Of(
--- a/src/routing/internal/target_leaders.cc
+++ b/src/routing/internal/target_leaders.cc
@@ -46,6 +46,12 @@
   return LeaderOf(target) == identity_->name;
 }
 
+void TargetLeaders::SetMayLead(bool may_lead) {
+  may_lead_ = may_lead;
+  by_failure_domain_.clear();
+  by_region_.clear();
+}
+
 template <typename Belongs>
 const std::string& TargetLeaders::ElectFrom(Electorate& electorate,
                                             const Target& target,
@@ -53,11 +59,11 @@
   if (!electorate.known) {
     electorate.known = true;
     for (const auto& [name, member] : membership_->members()) {
-      if (member.usable() && belongs(member.region, member.failure_domain)) {
+      if (member.may_lead() && belongs(member.region, member.failure_domain)) {
         electorate.entries.push_back(name);
       }
     }
-    if (!membership_->leaving() &&
+    if (may_lead_ && !membership_->leaving() &&
         belongs(identity_->region, identity_->failure_domain)) {
       electorate.entries.push_back(identity_->name);
     }
--- a/src/routing/internal/target_leaders.h
+++ b/src/routing/internal/target_leaders.h
@@ -13,19 +13,21 @@
 struct Target;
 
 // Elects the slot leader of each target: the entry instance with the highest
-// rendezvous score among the usable ones in the target's failure domain, so
-// that the last hop stays within the domain; if there is none, among those in
-// its region. No consensus is needed: two leaders at the same time overfill a
-// target's slots slightly and break no guarantee.
+// rendezvous score among those in the target's failure domain that are usable
+// and reach targets, so that the last hop stays within the domain; if there is
+// none, among those in its region. No consensus is needed: two leaders at the
+// same time overfill a target's slots slightly and break no guarantee.
 class TargetLeaders {
  public:
   TargetLeaders(std::shared_ptr<Identity> identity,
                 std::shared_ptr<Membership> membership);
 
   // Returns the name of the target's slot leader; empty if no entry instance of
-  // the region is usable.
+  // the region is usable and reaches targets.
   const std::string& LeaderOf(const Target& target);
   bool IsOwn(const Target& target);
+  // Sets whether this instance may lead targets. True by default.
+  void SetMayLead(bool may_lead);
 
  private:
   // The entry instances of a failure domain or region, and the leaders elected
@@ -47,6 +49,7 @@
 
   std::shared_ptr<Identity> identity_;
   std::shared_ptr<Membership> membership_;
+  bool may_lead_ = true;
   // An electorate is discarded when one of its entry instances changes.
   std::map<std::string, Electorate, std::less<>> by_failure_domain_;
   std::map<std::string, Electorate, std::less<>> by_region_;
--- a/src/routing/internal/target_pool.cc
+++ b/src/routing/internal/target_pool.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 
+#include "framework/log/log.h"
+#include "framework/metrics/metrics.h"
+
 namespace redwing {
 
 namespace {
@@ -120,6 +123,39 @@
   return shortest == Milliseconds::max() ? Milliseconds(0) : shortest;
 }
 
+void TargetPool::MaybeEject(const StatePtr& state,
+                            double max_fraction,
+                            Metrics& metrics,
+                            TimePoint now) const {
+  const auto ejected =
+      std::count_if(targets.begin(), targets.end(),
+                    [now](const StatePtr& s) { return s->Ejected(now); });
+  const double allowed = max_fraction * static_cast<double>(targets.size());
+  if (static_cast<double>(ejected + 1) > allowed) {
+    return;
+  }
+  state->Eject(now);
+  spdlog::warn("event=target_ejected target={} already_ejected={} of={}",
+               state->target().name, ejected, targets.size());
+  metrics
+      .Get("redwing_target_ejections_total", "Ejections of targets",
+           {{"target", state->target().name}})
+      .Add();
+}
+
+void TargetPool::ForgetFailures() const {
+  for (const StatePtr& state : targets) {
+    state->ForgetFailures();
+  }
+}
+
+void TargetPool::RejectAllWaiters() const {
+  for (const FairQueue::WaiterPtr& waiter : queue.All()) {
+    waiter->rejected = true;
+    waiter->timer.cancel();
+  }
+}
+
 void TargetPool::RejectWaiters(TimePoint now) const {
   for (const FairQueue::WaiterPtr& waiter : queue.All()) {
     const std::string& name = waiter->request.target;
--- a/src/routing/internal/target_pool.h
+++ b/src/routing/internal/target_pool.h
@@ -12,6 +12,8 @@
 
 namespace redwing {
 
+class Metrics;
+
 // The targets of one service in this instance's region, and the requests that
 // wait for their slots.
 class TargetPool {
@@ -46,6 +48,15 @@
   // in a backoff; with a name, the backoff of that target only. 0 if a target
   // accepts requests.
   Milliseconds BackoffLeft(const std::string& name, TimePoint now) const;
+  // Ejects a target, unless the ejected ones are `max_fraction` of all already.
+  void MaybeEject(const StatePtr& state,
+                  double max_fraction,
+                  Metrics& metrics,
+                  TimePoint now) const;
+  // See TargetState::ForgetFailures().
+  void ForgetFailures() const;
+  // Wakes and rejects all waiting requests.
+  void RejectAllWaiters() const;
   // Wakes and rejects requests that wait for targets none of which accepts
   // requests.
   void RejectWaiters(TimePoint now) const;
--- a/src/routing/internal/target_pools.cc
+++ b/src/routing/internal/target_pools.cc
@@ -9,6 +9,7 @@
 
 namespace {
 constexpr double kFullLoad = 1000;
+constexpr double kPercent = 100;
 }  // namespace
 
 TargetPool::StatePtr Find(const TargetPools& pools, const Target& target) {
@@ -29,6 +30,40 @@
   return states;
 }
 
+TargetPool::StatePtr Find(const TargetPools& pools, const TargetStart& target) {
+  for (const TargetPool::StatePtr& state : AllStates(pools)) {
+    if (TargetStart(state->target().name, state->target().started_at) ==
+        target) {
+      return state;
+    }
+  }
+  return nullptr;
+}
+
+TargetLoadReport ReportOf(const TargetState& state,
+                          int waiting,
+                          TimePoint now) {
+  return {state.hash(),
+          static_cast<uint16_t>(state.outstanding()),
+          static_cast<uint16_t>(waiting),
+          static_cast<uint16_t>(
+              std::min<double>(state.slowness() * kPercent, UINT16_MAX)),
+          state.Usable(now),
+          static_cast<uint32_t>(
+              std::min<int64_t>(state.BackoffLeft(now).count(), UINT32_MAX))};
+}
+
+std::vector<boost::asio::ip::tcp::endpoint> OpenEndpoints(
+    const TargetPools& pools) {
+  std::vector<boost::asio::ip::tcp::endpoint> endpoints;
+  for (const TargetPool::StatePtr& state : AllStates(pools)) {
+    if (!state->closed()) {
+      endpoints.push_back(state->endpoint());
+    }
+  }
+  return endpoints;
+}
+
 uint16_t LoadPermille(const TargetPools& pools, TimePoint now) {
   int slots = 0;
   int load = 0;
--- a/src/routing/internal/target_pools.h
+++ b/src/routing/internal/target_pools.h
@@ -1,6 +1,7 @@
 #ifndef REDWING_ROUTING_INTERNAL_TARGET_POOLS_H_
 #define REDWING_ROUTING_INTERNAL_TARGET_POOLS_H_
 
+#include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -19,6 +20,12 @@
 
 // Returns the state of a target; null if it is not of this region.
 TargetPool::StatePtr Find(const TargetPools& pools, const Target& target);
+TargetPool::StatePtr Find(const TargetPools& pools, const TargetStart& target);
+// Returns the report of a target for which `waiting` requests wait here.
+TargetLoadReport ReportOf(const TargetState& state, int waiting, TimePoint now);
+// Returns the addresses of the targets that are not closed.
+std::vector<boost::asio::ip::tcp::endpoint> OpenEndpoints(
+    const TargetPools& pools);
 std::vector<TargetPool::StatePtr> AllStates(const TargetPools& pools);
 // Returns the load of the usable targets in permille of their slots, from 0 to
 // 1000.
--- a/src/routing/internal/target_state.cc
+++ b/src/routing/internal/target_state.cc
@@ -192,6 +192,7 @@
       ++consecutive_error_responses_;
       break;
     case AttemptOutcome::kFailed:
+    case AttemptOutcome::kDisconnected:
       ++consecutive_failures_;
       break;
     case AttemptOutcome::kShed:
@@ -218,11 +219,19 @@
   const int doublings = std::min(ejections_, kMaxEjectionDoublings);
   ejected_until_ = now + kFirstEjection * (1 << doublings);
   // The target may have been restarted meanwhile.
-  cold_until_ = std::max<TimePoint>(cold_until_, ejected_until_ + warm_up_);
+  cold_after_ejection_until_ = ejected_until_ + warm_up_;
   ++ejections_;
   // One more failure after the ejection ejects the target again.
   consecutive_failures_ = kFailuresToEject - 1;
   consecutive_error_responses_ = kErrorResponsesToEject - 1;
 }
 
+void TargetState::ForgetFailures() {
+  ejected_until_ = TimePoint();
+  cold_after_ejection_until_ = TimePoint();
+  ejections_ = 0;
+  consecutive_failures_ = 0;
+  consecutive_error_responses_ = 0;
+}
+
 }  // namespace redwing
--- a/src/routing/target_state.h
+++ b/src/routing/target_state.h
@@ -1,6 +1,7 @@
 #ifndef REDWING_ROUTING_TARGET_STATE_H_
 #define REDWING_ROUTING_TARGET_STATE_H_
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <map>
@@ -23,6 +24,8 @@
   kErrorResponse,
   // There was no complete response.
   kFailed,
+  // The connection could not be opened, or broke before the response.
+  kDisconnected,
   kShed,
   // The target's address now belongs to another target.
   kMoved,
@@ -40,7 +43,9 @@
   // Sets the duration of a cold target's warm-up and the request rate that it
   // bears meanwhile, in requests per second.
   void SetWarmUp(Milliseconds duration, double rate, TimePoint now);
-  bool cold(TimePoint now) const { return now < cold_until_; }
+  bool cold(TimePoint now) const {
+    return now < std::max(cold_until_, cold_after_ejection_until_);
+  }
   // Sets the rate limit that the target named, in requests per second;
   // kNoRateLimit ends it.
   void SetRateLimit(double rate, TimePoint now);
@@ -106,6 +111,8 @@
   // requires an ejection.
   bool WantsEjection() const;
   void Eject(TimePoint now);
+  // Ends an ejection and takes back the failures that led to it.
+  void ForgetFailures();
   // Adds a successful run to the target's slowness. `multiple` is its time as a
   // multiple of the service's usual time for a run of that kind.
   void RecordRun(double multiple);
@@ -144,6 +151,8 @@
   Milliseconds warm_up_{0};
   double warm_up_rate_ = 0;
   TimePoint cold_until_;
+  // Time until which the target is cold after an ejection.
+  TimePoint cold_after_ejection_until_;
   TargetRateLimiter warm_up_limiter_;
   double rate_limit_ = kNoRateLimit;
   TargetRateLimiter rate_limiter_;
--- a/src/routing/tests/target_leaders_test.cc
+++ b/src/routing/tests/target_leaders_test.cc
@@ -38,8 +38,10 @@
   void Set(const std::string& name,
            const std::string& region,
            const std::string& failure_domain,
-           MemberState state = MemberState::kAlive) {
+           MemberState state = MemberState::kAlive,
+           bool reaches_targets = true) {
     Member member;
+    member.reaches_targets = reaches_targets;
     member.name = name;
     member.region = region;
     member.failure_domain = failure_domain;
@@ -103,6 +105,20 @@
   CHECK(leaders_.LeaderOf(TargetIn("u", "r2", "c")).empty());
 }
 
+TEST_CASE_METHOD(
+    LeadersFixture,
+    "an instance without links to targets is not elected as slot leader") {
+  members_->Set("a-2", "r1", "a", MemberState::kAlive, false);
+  CHECK(leaders_.LeaderOf(TargetIn("t", "r1", "a")) == "own");
+  leaders_.SetMayLead(false);
+  // The failure domain has no leader, so that the region leads the target.
+  CHECK(leaders_.LeaderOf(TargetIn("t", "r1", "a")) == "b-1");
+  members_->Set("b-1", "r1", "b", MemberState::kAlive, false);
+  CHECK(leaders_.LeaderOf(TargetIn("t", "r1", "a")).empty());
+  leaders_.SetMayLead(true);
+  CHECK(leaders_.LeaderOf(TargetIn("t", "r1", "a")) == "own");
+}
+
 TEST_CASE_METHOD(LeadersFixture,
                  "a leaving instance is not elected as slot leader") {
   members_->is_leaving = true;
--- a/src/routing/tests/target_state_test.cc
+++ b/src/routing/tests/target_state_test.cc
@@ -64,5 +64,24 @@
   CHECK(state.Limit(now) == 2);
 }
 
+TEST_CASE("failures for want of links are taken back with their ejections") {
+  TargetState state = MakeState(4);
+  const TimePoint now = kStart + std::chrono::seconds(10);
+  state.SetWarmUp(std::chrono::seconds(5), 10, now);
+  for (int i = 0; i < 3; ++i) {
+    state.Begin(now);
+    state.End(AttemptOutcome::kDisconnected, Milliseconds(500), now);
+  }
+  REQUIRE(state.WantsEjection());
+  state.Eject(now);
+  CHECK(state.Ejected(now));
+  CHECK(state.cold(now));
+  state.ForgetFailures();
+  CHECK_FALSE(state.Ejected(now));
+  CHECK_FALSE(state.cold(now));
+  CHECK_FALSE(state.WantsEjection());
+  CHECK(state.Limit(now) == 4);
+}
+
 }  // namespace
 }  // namespace redwing
