--- a/testing/platform_stand_in/store_stand_in.cc
+++ b/testing/platform_stand_in/store_stand_in.cc
@@ -80,6 +80,11 @@
   return revision_;
 }
 
+void StoreStandIn::AddRawItem(const std::string& kind,
+                              const std::string& text) {
+  raw_items_[kind].push_back(text);
+}
+
 void StoreStandIn::Remove(const std::string& kind, const std::string& name) {
   ++revision_;
   Record(kind, Render(kind, name), /*removed=*/true);
@@ -98,10 +103,18 @@
   for (const auto& [name, object] : objects_[kind]) {
     items.push_back(Render(kind, name));
   }
-  SendJson(
-      exchange, 200,
-      {{"items", std::move(items)}, {"hasMore", false}, {"asOf", revision_}},
-      yield);
+  const json page = {
+      {"items", std::move(items)}, {"hasMore", false}, {"asOf", revision_}};
+  std::string text = page.dump();
+  constexpr std::string_view kItems = R"("items":[)";
+  for (const std::string& raw : raw_items_[kind]) {
+    // The items that are rendered follow.
+    text.insert(text.find(kItems) + kItems.size(), raw + ",");
+  }
+  ResponseHeader header;
+  header.result(200);
+  header.set(http::field::content_type, "application/json");
+  exchange.Respond(std::move(header), text, yield);
 }
 
 void StoreStandIn::Watch(HttpExchange& exchange,
--- a/testing/platform_stand_in/store_stand_in.h
+++ b/testing/platform_stand_in/store_stand_in.h
@@ -30,6 +30,8 @@
   uint64_t Put(const std::string& kind,
                const std::string& name,
                const nlohmann::json& spec);
+  // Adds an item to each list of a kind, as it stands in the answer.
+  void AddRawItem(const std::string& kind, const std::string& text);
   void Remove(const std::string& kind, const std::string& name);
   size_t Count(const std::string& kind) const;
 
@@ -75,6 +77,7 @@
   Metrics metrics_;
   HttpServer server_;
   std::map<std::string, std::map<std::string, Object>> objects_;
+  std::map<std::string, std::vector<std::string>> raw_items_;
   std::deque<Change> changes_;
   uint64_t revision_ = 1;
   bool down_ = false;
