Tests of a refusal that is written once more, and of answers cut within their head

Neither can happen here: the echoed request id tells the earlier refusal from the answer, and a head that is not complete is a failure.

--- a/testing/integration/faulty_target_test_fleet.cc
+++ b/testing/integration/faulty_target_test_fleet.cc
@@ -1,19 +1,135 @@
-// Entries of the targets' list that make no sense.
+// Entries of the targets' list that make no sense, and targets that send bytes
+// which are not the answer to the request.
 
 #include <fmt/format.h>
 
+#include <atomic>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <functional>
+#include <list>
+#include <mutex>
+#include <set>
 #include <thread>
+#include <vector>
 
+#include "framework/settings/endpoint.h"
+#include "testing/harness/sync_client.h"
 #include "testing/platform_stand_in/platform_stand_in.h"
 
 namespace redwing::testing {
 namespace {
 
+using boost::asio::ip::tcp;
+
 constexpr int kInstances = 2;
 constexpr Milliseconds kStartLimit{15'000};
 constexpr Milliseconds kListLimit{5'000};
 
+// A target that writes raw bytes: what `respond` returns for the id of a
+// request and its number on the connection; none close the connection.
+class RawTarget {
+ public:
+  using Respond = std::function<std::string(const std::string& id, int number)>;
+
+  explicit RawTarget(Respond respond)
+      : respond_(std::move(respond)),
+        acceptor_(io_, TcpEndpoint("127.0.0.1:0")),
+        thread_([this]() { Accept(); }) {}
+  ~RawTarget() {
+    stopped_ = true;
+    // Wakes the thread that accepts.
+    boost::system::error_code ignored;
+    tcp::socket(io_).connect(acceptor_.local_endpoint(), ignored);
+    thread_.join();
+    for (tcp::socket& socket : sockets_) {
+      socket.shutdown(tcp::socket::shutdown_both, ignored);
+    }
+    for (std::thread& connection : connections_) {
+      connection.join();
+    }
+  }
+  RawTarget(const RawTarget&) = delete;
+  RawTarget& operator=(const RawTarget&) = delete;
+
+  std::string address() const {
+    return FormatEndpoint(acceptor_.local_endpoint());
+  }
+
+ private:
+  void Accept() {
+    while (true) {
+      boost::system::error_code ec;
+      tcp::socket socket = acceptor_.accept(ec);
+      if (stopped_ || ec) {
+        return;
+      }
+      sockets_.push_back(std::move(socket));
+      tcp::socket& kept = sockets_.back();
+      connections_.emplace_back([this, &kept]() { Serve(kept); });
+    }
+  }
+
+  void Serve(tcp::socket& socket) {
+    std::string buffer;
+    for (int number = 1;; ++number) {
+      boost::system::error_code ec;
+      const size_t size = boost::asio::read_until(
+          socket, boost::asio::dynamic_buffer(buffer), "\r\n\r\n", ec);
+      if (ec) {
+        return;
+      }
+      const std::string bytes = respond_(IdOf(buffer.substr(0, size)), number);
+      buffer.erase(0, size);
+      boost::asio::write(socket, boost::asio::buffer(bytes), ec);
+      if (ec || bytes.find("\r\n\r\n") == std::string::npos) {
+        socket.shutdown(tcp::socket::shutdown_both, ec);
+        return;
+      }
+    }
+  }
+
+  static std::string IdOf(const std::string& head) {
+    const std::string name = "X-Redwingcart-Request-Id: ";
+    const size_t begin = head.find(name) + name.size();
+    return head.substr(begin, head.find("\r\n", begin) - begin);
+  }
+
+  boost::asio::io_context io_;
+  Respond respond_;
+  tcp::acceptor acceptor_;
+  std::atomic<bool> stopped_ = false;
+  std::list<tcp::socket> sockets_;
+  std::vector<std::thread> connections_;
+  std::thread thread_;
+};
+
+// Leaves one target of the region of instance 0, at an address of the test.
+void ReplaceTargets(PlatformStandIn& fleet, const RawTarget& target) {
+  fleet.OnLoop([&]() {
+    for (size_t i = 0; i < fleet.target_count(); ++i) {
+      fleet.store().Remove("servers", fleet.target(i).id());
+    }
+    fleet.store().Put("servers", "i-raw",
+                      {{"service", "svc"},
+                       {"address", target.address()},
+                       {"zone", "zone-0"},
+                       {"version", "v1"},
+                       {"slots", 1},
+                       {"state", "ready"},
+                       {"warmup_time", "0ms"},
+                       {"seq", 1},
+                       {"born", 1'000}});
+  });
+}
+
+std::string Head(int status, const std::string& id, const std::string& more) {
+  return fmt::format("HTTP/1.1 {} X\r\nX-Redwingcart-Request-Id: {}\r\n{}\r\n",
+                     status, id, more);
+}
+
 TEST_CASE("odd entries among the targets do not stop the reading of the list") {
   const std::string item =
       R"({{"metadata":{{"name":"odd","revision":1}},"spec":{}}})";
@@ -60,5 +176,70 @@
   CHECK((reply && reply.value().status == 200));
 }
 
+TEST_CASE("a refusal that a target writes once more refuses no other request") {
+  std::mutex mutex;
+  std::set<std::string> ran;
+  std::string refusal;
+  RawTarget target([&](const std::string& id, int number) {
+    const std::lock_guard<std::mutex> lock(mutex);
+    if (number == 1) {
+      refusal = Head(503, id,
+                     "X-Redwingcart-Not-Executed: 1\r\nContent-Length: 0\r\n");
+      return refusal;
+    }
+    ran.insert(id);
+    return refusal +
+           Head(200, id,
+                "X-Redwingcart-Response-Signature: s\r\n"
+                "Content-Length: 2\r\n") +
+           "ok";
+  });
+  PlatformStandIn fleet(kInstances);
+  REQUIRE(fleet.AwaitReady(kStartLimit));
+  ReplaceTargets(fleet, target);
+  std::this_thread::sleep_for(kListLimit / 2);
+  for (int i = 0; i < 20; ++i) {
+    const std::string id = fmt::format("again-{}", i);
+    const Result<HttpReply> reply =
+        fleet.Send(0, id, http::verb::post, "/unsafe/1");
+    REQUIRE(reply);
+    const std::lock_guard<std::mutex> lock(mutex);
+    CAPTURE(id, reply.value().status, reply.value().body);
+    // 503 promises that the request has not run.
+    CHECK((reply.value().status != 503 || ran.count(id) == 0));
+  }
+  const std::lock_guard<std::mutex> lock(mutex);
+  CHECK_FALSE(ran.empty());
+}
+
+TEST_CASE("an answer that ends within its head is never a success") {
+  std::atomic<int> asked = 0;
+  const std::string more = GENERATE(
+      as<std::string>(), "", "Content-Length: 2\r\nX-",
+      "X-Redwingcart-Response-Signature: s\r\nContent-Le",
+      "X-Redwingcart-Response-Signature: s\r\nContent-Length: 2\r\n",
+      "X-Redwingcart-Response-Signature: s\r\nTransfer-Encoding: chun");
+  CAPTURE(more);
+  RawTarget target([&](const std::string& id, int /*number*/) {
+    ++asked;
+    const std::string head = Head(200, id, more);
+    return head.substr(0, head.size() - 2);
+  });
+  PlatformStandIn fleet(kInstances);
+  REQUIRE(fleet.AwaitReady(kStartLimit));
+  ReplaceTargets(fleet, target);
+  std::this_thread::sleep_for(kListLimit / 2);
+  for (const http::verb method : {http::verb::get, http::verb::post}) {
+    for (int i = 0; i < 5; ++i) {
+      const Result<HttpReply> reply = fleet.Send(
+          i % kInstances,
+          fmt::format("cut-{}-{}", StdView(http::to_string(method)), i), method,
+          method == http::verb::get ? "/safe/1" : "/unsafe/1");
+      CHECK((!reply || reply.value().status >= 500));
+    }
+  }
+  CHECK(asked > 0);
+}
+
 }  // namespace
 }  // namespace redwing::testing
