Give up the lead of all targets at once when leaving

Cause: a leaving instance elects its leaders anew only with the next change of another member; until then it went on leading its targets for its own callers while the others already sent to the next leader. Two leaders spend the rate of a cold or limited target twice, for up to the time of a graceful stop.

Change: AnnounceLeaving() notifies on_change() with this instance, as of any other member that leaves, so that electorates, placements and rate shares follow at once.

--- a/src/membership/internal/heartbeat_membership.cc
+++ b/src/membership/internal/heartbeat_membership.cc
@@ -163,6 +163,13 @@
 void HeartbeatMembership::AnnounceLeaving() {
   leaving_ = true;
   SendHeartbeatToAll();
+  Member own;
+  own.name = identity_->name;
+  own.region = identity_->region;
+  own.failure_domain = identity_->failure_domain;
+  own.process_id = identity_->process_id;
+  own.state = MemberState::kLeaving;
+  on_change_.Notify(own);
 }
 
 void HeartbeatMembership::SendDueHeartbeats(TimePoint now) {
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -82,7 +82,8 @@
   // Notifies of each heartbeat received.
   virtual Channel<Member, Heartbeat>& on_heartbeat() = 0;
   // Notifies of each member that became alive, suspect or leaving, lost or
-  // regained its links to targets, or was removed.
+  // regained its links to targets, or was removed; and of this instance when it
+  // announces its leaving.
   virtual Channel<Member>& on_change() = 0;
   // Notifies of each pause of this process longer than
   // MembershipOptions::pause_limit, with its length.
