--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -15,7 +15,7 @@
 constexpr double kConfigApply = 2.5;
 constexpr double kMaxStretch = 6;
 // The copy is this old when the store comes back from it.
-constexpr double kCopyAge = 8;
+constexpr double kCopyAge = 6;
 constexpr double kAway = 1;
 
 Outcome Play() {
@@ -30,12 +30,12 @@
   Sleep(3);
   store.Copy();
   Record::Say("the store's copy is made at revision {}", store.revision());
-  Sleep(kCopyAge - kAway - 2);
+  Sleep(kCopyAge - kAway - 1);
   const nlohmann::json second =
       Deployment::Manifest(5, {"key-aa", "key-bb", "key-cc"});
   Record::Say("manifest r5 (one more key) is acknowledged at revision {}",
               store.Put("config", "main", second));
-  Sleep(2);
+  Sleep(1);
   if (Deployment::WithTrouble()) {
     store.SetAway(true);
     Record::Say("the store is away");
