--- a/review/stand_ins/store.cc
+++ b/review/stand_ins/store.cc
@@ -84,7 +84,11 @@
 
 void Store::AddRaw(const std::string& kind, const std::string& text) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  raw_[kind] = text;
+  if (text.empty()) {
+    raw_.erase(kind);
+  } else {
+    raw_[kind] = text;
+  }
   ++revision_;
 }
 
--- a/review/stand_ins/store.h
+++ b/review/stand_ins/store.h
@@ -29,7 +29,8 @@
                const std::string& name,
                const nlohmann::json& spec);
   void Remove(const std::string& kind, const std::string& name);
-  // Adds an entry to each list of a kind whose bytes are written as they are.
+  // Adds an entry to each list of a kind whose bytes are written as they are;
+  // an empty text removes it.
   void AddRaw(const std::string& kind, const std::string& text);
 
   // Goes away: connections are refused or reset.
