--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -1,6 +1,4 @@
-// A planned stop while an upstream works on a request that has time left.
-
-#include <signal.h>
+// A manifest raises the limit of request heads, and clients send longer ones.
 
 #include <atomic>
 #include <thread>
@@ -11,75 +9,114 @@
 namespace review {
 namespace {
 
-// Bounds of the deployment, in seconds.
-constexpr double kGrace = 6;
-// The site's season-pull: longest work and deadline.
-constexpr double kWork = 4.7;
-constexpr int kDeadlineMs = 8000;
-constexpr int kRequests = 6;
+constexpr size_t kLimitBefore = 16384;  // maxHeaderBytes
+constexpr size_t kLimitAfter = 32768;
+constexpr size_t kHeadBefore = 16000;
+constexpr size_t kHeadAfter = 20000;
+constexpr double kConfigApply = 2.5;
+constexpr double kLength = 45;
+// Between requests with a long head, beside the others.
+constexpr double kLongInterval = 0.5;
+
+// Returns the request's target, filled so that the head has `size` bytes.
+std::string TargetFor(const std::map<std::string, std::string>& fields,
+                      const std::string& path,
+                      size_t size) {
+  size_t rest = std::string("GET  HTTP/1.1\r\n\r\n").size();
+  for (const auto& [name, value] : fields) {
+    rest += name.size() + value.size() + std::string(": \r\n").size();
+  }
+  std::string target = path + "?tags=";
+  for (int tag = 0; target.size() + rest < size; ++tag) {
+    target += fmt::format("{:07},", tag);
+  }
+  target.resize(size - rest);
+  return target;
+}
+
+Answer SendLong(Machine& machine, const std::string& id, size_t size) {
+  const std::map<std::string, std::string> fields = {
+      {"Host", "tags.example"},
+      {"X-Redwingcart-Request-Id", id},
+      {"X-Redwingcart-Affinity-Key", "17"},
+      {"X-Redwingcart-Deadline-Ms", "3000"},
+      {"Authorization", "Bearer key-aa"}};
+  const std::string target = TargetFor(fields, "/lookup/" + id, size);
+  Record::Line("client: sends {} to {} with a head of {} bytes", id,
+               machine.name(), size);
+  const Answer answer = Ask(machine.front(), "GET", target, fields, "", 3.5);
+  Record::Line(
+      "client: {}: {}", id,
+      answer.status == 0 ? answer.error : std::to_string(answer.status));
+  return answer;
+}
 
 Outcome Play() {
   Deployment deployment;
   deployment.AddUpstreams(12, 12);
-  deployment.store().Put("config", "main",
-                         Deployment::Manifest(3, {"key-aa"}, "8000ms"));
+  nlohmann::json manifest = Deployment::Manifest(3, {"key-aa"});
+  manifest["limits"]["maxHeaderBytes"] = kLimitBefore;
+  deployment.store().Put("config", "main", manifest);
   deployment.AddMachines(6);
   if (!deployment.AwaitReady(20)) {
     return kCannotRun;
   }
   Sleep(3);
-  for (const std::unique_ptr<Upstream>& upstream : deployment.upstreams()) {
-    upstream->SetWork(kWork);
-  }
-  // One machine is stopped as the platform stops it. Its requests are sent
-  // just before.
-  Machine& stopped = *deployment.machines()[0];
-  std::vector<std::thread> clients;
-  std::vector<Answer> answers(kRequests);
-  for (int i = 0; i < kRequests; ++i) {
-    clients.emplace_back([&, i]() {
-      answers[i] = deployment.Send(stopped, fmt::format("pull-{}", i), "key-aa",
-                                   i % 2 == 0, kDeadlineMs);
-    });
-  }
-  Sleep(0.15);
-  const double signalled = Now();
-  if (Deployment::WithTrouble()) {
-    stopped.Signal(SIGTERM);
-  }
-  while (Deployment::WithTrouble() && stopped.Running() &&
-         Now() < signalled + kGrace) {
-    Sleep(0.01);
-  }
+  std::atomic<bool> stopped = false;
+  std::atomic<int> served = 0;
+  std::atomic<int> failed = 0;
+  std::thread client([&]() {
+    for (int i = 0; !stopped; ++i) {
+      const Answer answer =
+          deployment.Send(*deployment.machines()[i % 6],
+                          fmt::format("lookup-{}", i), "key-aa", i % 2 == 0);
+      ++(answer.status == 200 ? served : failed);
+      Sleep(0.02);
+    }
+  });
+  int sent = 0;
+  const auto send_long = [&](size_t size, double length) {
+    int answered = 0;
+    int count = 0;
+    double next = Now();
+    for (const double until = Now() + length;
+         Now() < until && !deployment.TooManyEnds();) {
+      if (Now() >= next) {
+        Machine& machine = *deployment.machines()[sent % 6];
+        const std::string id = fmt::format("9c41d07be2a3{:04x}", sent++);
+        answered += SendLong(machine, id, size).status == 200 ? 1 : 0;
+        ++count;
+        next += kLongInterval;
+      }
+      for (const std::unique_ptr<Machine>& machine : deployment.machines()) {
+        machine->RestartIfEnded();
+      }
+      Sleep(0.02);
+    }
+    Record::Say(
+        "requests with a head of {} bytes: {} sent, {} answered with "
+        "200; other requests so far: {} served, {} not",
+        size, count, answered, served.load(), failed.load());
+  };
+  send_long(kHeadBefore, 10);
   if (Deployment::WithTrouble()) {
-    Record::Say("the process ended {:.2f} s after SIGTERM; grace is {} s",
-                Now() - signalled, kGrace);
-  }
-  for (std::thread& client : clients) {
-    client.join();
+    manifest["version"] = "r5";
+    manifest["limits"]["maxHeaderBytes"] = kLimitAfter;
+    deployment.store().Put("config", "main", manifest);
+    Record::Say("manifest r5 allows heads of {} bytes", kLimitAfter);
   }
-  int passed_on = 0;
-  int cut = 0;
-  for (int i = 0; i < kRequests; ++i) {
-    const std::string id = fmt::format("pull-{}", i);
-    const bool ran = deployment.RunsOf(id) > 0;
-    const bool whole =
-        answers[i].status == 200 && answers[i].message.body == "ran " + id;
-    passed_on += ran ? 1 : 0;
-    cut += ran && !whole ? 1 : 0;
-    Record::Say("{}: {}, {} after SIGTERM {:.2f} s", id,
-                ran ? "an upstream worked on it" : "not passed on",
-                whole ? "answered" : "ended without its answer",
-                answers[i].ended - signalled);
+  Sleep(kConfigApply + 0.5);
+  send_long(Deployment::WithTrouble() ? kHeadAfter : kHeadBefore, kLength);
+  stopped = true;
+  client.join();
+  for (const std::unique_ptr<Machine>& machine : deployment.machines()) {
+    Record::Say("machine {}: its process ended by itself {} times",
+                machine->name(), machine->ends());
   }
-  Record::Say(
-      "{} requests were passed on before SIGTERM; {} of them ended "
-      "without a complete answer",
-      passed_on, cut);
-  if (passed_on == 0) {
+  if (served == 0) {
     return kCannotRun;
   }
-  return cut > 0 ? kBroken : kHeld;
+  return deployment.TooManyEnds() ? kBroken : kHeld;
 }
 
 }  // namespace
