Order versions by the era of the store, then by revision (CONFIG)

Cause: state entries were ordered by the revision of their object alone. A restored store assigns revisions again, so that the newer manifest had the lower revision (230 after 253) and was ignored, and peers handed on the old one. Ruled out: a watch that missed the change; it gets 410 and reads the list again.

Change: StoreVersion, ordered by era (header Store-Era) and then by revision, for entries, lists and waits; no bare revisions are left to compare. A wait that is answered in another era is a change, pages of two eras are not joined. For two seconds after a new era, entries that operators and targets write are held back, since the copy may lack what is about to be written again. Heartbeats carry the era at their end; after a restore, only instances that know eras are elected to read the store.

--- a/src/budget/internal/share_ledger.cc
+++ b/src/budget/internal/share_ledger.cc
@@ -246,7 +246,9 @@
   if (next == base) {
     // Other instances have become share owners in the meantime.
     lowered_.clear();
-    state_->Apply({std::string(kSharesName), revision, base.Text()});
+    state_->Apply({std::string(kSharesName), StoreVersion(object.era, revision),
+                   base.Text()},
+                  Clock::now());
     return Errc::kOk;
   }
   if (LentExceedsLoweredShare()) {
@@ -260,7 +262,10 @@
       absent ? store_->Create(object, yield) : store_->Update(object, yield);
   if (written) {
     lowered_.clear();
-    state_->Apply({std::string(kSharesName), revision + 1, next.Text()});
+    state_->Apply(
+        {std::string(kSharesName),
+         StoreVersion(written.value().era, revision + 1), next.Text()},
+        Clock::now());
     return Errc::kOk;
   }
   if (written.error().errc == Errc::kConflict) {
--- a/src/config/internal/document_config.cc
+++ b/src/config/internal/document_config.cc
@@ -94,21 +94,22 @@
       ParseSection(entry.name.substr(kSectionPrefix.size()), entry.body);
   if (!section) {
     // The previous version of the section stays in force.
-    spdlog::error("event=section_refused name={} revision={} reason={}",
-                  entry.name, entry.revision, Quoted(section.error().detail));
+    spdlog::error("event=section_refused name={} era={} revision={} reason={}",
+                  entry.name, entry.version.era(), entry.version.revision(),
+                  Quoted(section.error().detail));
     return;
   }
   sections_.insert_or_assign(entry.name, std::move(section.value()));
   std::vector<Section> sections;
   sections.reserve(sections_.size());
-  newest_revision_ = std::max(newest_revision_, entry.revision);
+  newest_version_ = std::max(newest_version_, entry.version);
   for (const auto& [name, current] : sections_) {
     sections.push_back(current);
   }
   operator_document_ =
-      std::make_shared<SteeringDocument>(sections, newest_revision_);
-  spdlog::info("event=section_in_force name={} revision={}", entry.name,
-               entry.revision);
+      std::make_shared<SteeringDocument>(sections, newest_version_.packed());
+  spdlog::info("event=section_in_force name={} era={} revision={}", entry.name,
+               entry.version.era(), entry.version.revision());
   MergeTargets();
 }
 
--- a/src/config/internal/document_config.h
+++ b/src/config/internal/document_config.h
@@ -46,8 +46,8 @@
   std::shared_ptr<Membership> membership_;
   // Last valid version of each section, by the name of its entry.
   std::map<std::string, Section> sections_;
-  // Highest revision of the sections that are in force.
-  uint64_t newest_revision_ = 0;
+  // Highest version of the sections that are in force.
+  StoreVersion newest_version_;
   // Document as written by operators, without targets that the platform lists.
   std::shared_ptr<const SteeringDocument> operator_document_;
   std::shared_ptr<const SteeringDocument> document_;
--- a/src/config/internal/listing_codec.cc
+++ b/src/config/internal/listing_codec.cc
@@ -27,7 +27,7 @@
 
 InstanceList DecodeListing(const StateEntry& entry) {
   InstanceList list;
-  list.version = entry.revision;
+  list.version = entry.version;
   const json items =
       json::parse(entry.body, nullptr, /*allow_exceptions=*/false);
   if (!items.is_array()) {
--- a/src/config/internal/peer_sync.cc
+++ b/src/config/internal/peer_sync.cc
@@ -53,8 +53,9 @@
   membership_ = std::move(membership);
   membership_->AddHeartbeatSource([this](Heartbeat& heartbeat) {
     heartbeat.state_digest = state_->digest();
-    heartbeat.state_sum = state_->revision_sum();
+    heartbeat.state_sum = state_->version_sum();
     heartbeat.withdrawn_hash = keys_->withdrawn_hash();
+    heartbeat.store_era = state_->era();
   });
   membership_->SetStateComparer(
       [this](const std::string& name, const Heartbeat& heartbeat) {
@@ -124,15 +125,16 @@
 
 bool PeerSync::StateEquals(const std::string& name,
                            const Heartbeat& heartbeat) {
+  state_->ObserveEra(heartbeat.store_era, Clock::now());
   RecordAdvertised(name, heartbeat);
   if (heartbeat.state_digest == state_->digest() &&
       heartbeat.withdrawn_hash == keys_->withdrawn_hash()) {
     return true;
   }
-  // A peer with a lower sum of revisions has no newer entry and pulls from this
+  // A peer with a lower sum of versions has no newer entry and pulls from this
   // instance instead. With equal sums either side may have newer entries.
   const bool may_have_newer_state =
-      !state_->complete() || heartbeat.state_sum >= state_->revision_sum() ||
+      !state_->complete() || heartbeat.state_sum >= state_->version_sum() ||
       heartbeat.withdrawn_hash != keys_->withdrawn_hash();
   if (!may_have_newer_state) {
     return false;
@@ -156,19 +158,19 @@
 void PeerSync::RecordAdvertised(const std::string& name,
                                 const Heartbeat& heartbeat) {
   const std::optional<Milliseconds> lag = lag_.RecordAdvertised(
-      heartbeat.state_sum, state_->revision_sum(), Clock::now());
+      heartbeat.state_sum, state_->version_sum(), Clock::now());
   if (lag) {
     spdlog::info(
         "event=state_behind for_ms={} member={} told={} held={} pulls={} "
         "failed={}",
-        lag->count(), name, heartbeat.state_sum, state_->revision_sum(),
+        lag->count(), name, heartbeat.state_sum, state_->version_sum(),
         pulls_while_behind_, failed_while_behind_);
   }
 }
 
 void PeerSync::RecordApplied() {
   const std::optional<Milliseconds> lag =
-      lag_.RecordApplied(state_->revision_sum(), Clock::now());
+      lag_.RecordApplied(state_->version_sum(), Clock::now());
   if (!lag) {
     return;
   }
@@ -178,7 +180,7 @@
       .Record(*lag);
   if (*lag >= StateLag::kLogInterval) {
     spdlog::info("event=state_caught_up after_ms={} held={} pulls={} failed={}",
-                 lag->count(), state_->revision_sum(), pulls_while_behind_,
+                 lag->count(), state_->version_sum(), pulls_while_behind_,
                  failed_while_behind_);
   }
   pulls_while_behind_ = 0;
@@ -196,7 +198,7 @@
       .Add();
   const Result<std::string> bytes = transport_->Call(
       TcpEndpoint(member->peer_address), MessageKind::kStatePull,
-      EncodePayload(StatePull{state_->Revisions()}), kPullTimeout, yield);
+      EncodePayload(StatePull{state_->Versions()}), kPullTimeout, yield);
   if (!bytes) {
     ++failed_while_behind_;
     spdlog::info("event=pull_failed member={} reason={}", name,
@@ -212,7 +214,7 @@
     return false;
   }
   for (const StateEntry& entry : reply.value().entries) {
-    state_->Apply(entry);
+    state_->Apply(entry, Clock::now());
   }
   if (keys_->Withdraw(reply.value().withdrawn)) {
     ScheduleHeartbeats();
@@ -253,7 +255,7 @@
   StateReply reply;
   if (pull) {
     reply.complete = state_->complete();
-    reply.entries = state_->NewerThan(pull.value().revisions);
+    reply.entries = state_->NewerThan(pull.value().versions);
     reply.withdrawn = keys_->Withdrawals();
   }
   const Result<std::string> bytes = Compress(EncodePayload(reply));
--- a/src/config/internal/source_feed.cc
+++ b/src/config/internal/source_feed.cc
@@ -1,5 +1,7 @@
 #include "config/internal/source_feed.h"
 
+#include <algorithm>
+
 #include "config/internal/watcher_election.h"
 #include "config/listing_codec.h"
 #include "config/replicated_state.h"
@@ -46,7 +48,8 @@
 }
 
 bool SourceFeed::ReadsStore() const {
-  return !state_->complete() || IsWatcher(*identity_, *membership_);
+  return !state_->complete() ||
+         IsWatcher(*identity_, *membership_, state_->era());
 }
 
 void SourceFeed::FollowKind(const std::string& kind, const Yield& yield) {
@@ -61,29 +64,39 @@
       SleepFor(io_, kRetryInterval, yield);
       continue;
     }
+    state_->ObserveEra(reading.value().version.era(), Clock::now());
     for (const StateEntry& entry : reading.value().entries) {
       ApplyIfChanged(entry);
     }
+    const Milliseconds hold =
+        state_->HoldRemaining(reading.value().version.era(), Clock::now());
+    if (hold > Milliseconds(0)) {
+      SleepFor(io_, hold, yield);
+      continue;
+    }
     NoteRead(kind, begun);
     AwaitChange(kind, reading.value().version, yield);
   }
 }
 
 void SourceFeed::AwaitChange(const std::string& kind,
-                             uint64_t version,
+                             StoreVersion version,
                              const Yield& yield) {
   while (!stopped_ && ReadsStore()) {
-    const Milliseconds limit = IsFirstWatcher(*identity_, *membership_)
-                                   ? options_.first_change_wait
-                                   : options_.change_wait;
+    const Milliseconds limit =
+        IsFirstWatcher(*identity_, *membership_, state_->era())
+            ? options_.first_change_wait
+            : options_.change_wait;
     const Result<ChangeWait> waited =
         source_->AwaitChange(kind, version, limit, yield);
     if (!waited) {
-      spdlog::info("event=watch_ended kind={} version={} reason={}", kind,
-                   version, Quoted(waited.error().detail));
+      spdlog::info("event=watch_ended kind={} era={} revision={} reason={}",
+                   kind, version.era(), version.revision(),
+                   Quoted(waited.error().detail));
       SleepFor(io_, kRetryInterval, yield);
       return;
     }
+    state_->ObserveEra(waited.value().version.era(), Clock::now());
     if (waited.value().changed) {
       return;
     }
@@ -99,18 +112,26 @@
     }
     const TimePoint begun = Clock::now();
     const Result<InstanceList> list = directory_->ListInstances(yield);
-    if (list) {
-      ApplyIfChanged(EncodeListing(list.value()));
+    if (!list) {
+      SleepFor(io_, kRetryInterval, yield);
+      continue;
+    }
+    const uint32_t era = list.value().version.era();
+    state_->ObserveEra(era, Clock::now());
+    ApplyIfChanged(EncodeListing(list.value()));
+    const Milliseconds hold = state_->HoldRemaining(era, Clock::now());
+    if (hold == Milliseconds(0)) {
       NoteRead(std::string(kListingName), begun);
     }
-    SleepFor(io_, list ? options_.listing_interval : kRetryInterval, yield);
+    SleepFor(io_, std::max(hold, options_.listing_interval), yield);
   }
 }
 
 void SourceFeed::ApplyIfChanged(const StateEntry& entry) {
   const StateEntry* const existing = state_->Find(entry.name);
-  if (existing == nullptr || existing->body != entry.body) {
-    state_->Apply(entry);
+  if (existing == nullptr || existing->body != entry.body ||
+      existing->version.era() < entry.version.era()) {
+    state_->Apply(entry, Clock::now());
   }
 }
 
--- a/src/config/internal/source_feed.h
+++ b/src/config/internal/source_feed.h
@@ -47,12 +47,13 @@
   // Returns when the kind must be read again: after a change, an error, or a
   // change of this instance's role.
   void AwaitChange(const std::string& kind,
-                   uint64_t version,
+                   StoreVersion version,
                    const Yield& yield);
   // Returns whether this instance reads the store itself: as a watcher, or
   // until its state is complete.
   bool ReadsStore() const;
-  // Applies an entry if its body differs from that of the local entry.
+  // Applies an entry if its body differs from that of the local entry, or if it
+  // is of a later era.
   void ApplyIfChanged(const StateEntry& entry);
   // Records a successful read of a kind, or of the listing, that started at
   // `begun`. Marks the state complete once everything was read.
--- a/src/config/internal/state_object.cc
+++ b/src/config/internal/state_object.cc
@@ -8,8 +8,10 @@
       !object.spec.at("revision").is_number_unsigned()) {
     return std::nullopt;
   }
-  return StateEntry{object.name, object.spec.at("revision").get<uint64_t>(),
-                    object.spec.at("body").dump()};
+  return StateEntry{
+      object.name,
+      StoreVersion(object.era, object.spec.at("revision").get<uint64_t>()),
+      object.spec.at("body").dump()};
 }
 
 }  // namespace redwing
--- a/src/config/internal/store_watcher.cc
+++ b/src/config/internal/store_watcher.cc
@@ -53,7 +53,7 @@
 }
 
 bool StoreWatcher::is_watcher() const {
-  return IsWatcher(*identity_, *membership_);
+  return IsWatcher(*identity_, *membership_, state_->era());
 }
 
 void StoreWatcher::WatchLoop(const Yield& yield) {
@@ -125,7 +125,7 @@
 void StoreWatcher::PollListing(const Yield& yield) {
   const Result<InstanceList> list = directory_->ListInstances(yield);
   if (list) {
-    state_->Apply(EncodeListing(list.value()));
+    state_->Apply(EncodeListing(list.value()), Clock::now());
   }
 }
 
@@ -136,7 +136,7 @@
   }
   const std::optional<StateEntry> entry = DecodeStateEntry(object);
   if (entry) {
-    state_->Apply(*entry);
+    state_->Apply(*entry, Clock::now());
   }
 }
 
--- a/src/config/internal/sync_messages.h
+++ b/src/config/internal/sync_messages.h
@@ -13,12 +13,12 @@
 
 // Requests all entries that are newer than those of the caller.
 struct StatePull {
-  // Revisions of the caller's entries, by name.
-  std::map<std::string, uint64_t> revisions;
+  // Versions of the caller's entries, by name.
+  std::map<std::string, StoreVersion> versions;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(revisions);
+    archive(versions);
   }
 };
 
@@ -26,7 +26,7 @@
 struct StateReply {
   // Whether the state of the replying instance is complete.
   bool complete = false;
-  // Entries that are newer than the requested revisions.
+  // Entries that are newer than the requested versions.
   std::vector<StateEntry> entries;
   // All withdrawals that the replying instance knows.
   std::vector<Withdrawal> withdrawn;
--- a/src/config/internal/watcher_election.h
+++ b/src/config/internal/watcher_election.h
@@ -2,6 +2,7 @@
 #define REDWING_CONFIG_INTERNAL_WATCHER_ELECTION_H_
 
 #include <cstddef>
+#include <cstdint>
 
 namespace redwing {
 
@@ -13,11 +14,17 @@
 
 // Returns whether this instance is among the first kWatchersPerRegion usable
 // members of its region by rendezvous hashing. Based on the local membership
-// view, so instances may disagree for a while.
-bool IsWatcher(const Identity& identity, const Membership& membership);
+// view, so instances may disagree for a while. `era`: era of the store; after a
+// restore, only members that know eras count, since others ignore what they
+// read.
+bool IsWatcher(const Identity& identity,
+               const Membership& membership,
+               uint32_t era);
 
 // Returns whether this instance is the first watcher of its region.
-bool IsFirstWatcher(const Identity& identity, const Membership& membership);
+bool IsFirstWatcher(const Identity& identity,
+                    const Membership& membership,
+                    uint32_t era);
 
 }  // namespace redwing
 
--- a/src/config/listing_codec.h
+++ b/src/config/listing_codec.h
@@ -9,7 +9,7 @@
 namespace redwing {
 
 // Encodes the platform's list of instances as the replicated entry "listing".
-// The revision of the entry is the version of the list.
+// The version of the entry is that of the list.
 StateEntry EncodeListing(const InstanceList& list);
 // Decodes the replicated entry "listing". Skips malformed items; the list is
 // empty if the body is no JSON array.
--- a/src/config/replicated_state.h
+++ b/src/config/replicated_state.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "config/restore_hold.h"
 #include "config/state_entry.h"
 #include "framework/kernel/channel.h"
 
@@ -14,33 +15,44 @@
 class Metrics;
 
 // Local copy of the state that is replicated to every instance: sections, API
-// keys, drains and the platform's list of instances. The revision of an entry
+// keys, drains and the platform's list of instances. The version of an entry
 // never decreases.
 class ReplicatedState {
  public:
   static constexpr std::string_view kServiceName = "replicated_state";
 
   using EntryMap = std::map<std::string, StateEntry, std::less<>>;
-  using RevisionMap = std::map<std::string, uint64_t>;
+  using VersionMap = std::map<std::string, StoreVersion>;
 
   explicit ReplicatedState(Metrics& metrics) : metrics_(metrics) {}
 
-  // Stores the entry if its revision is higher than that of the local entry of
-  // the same name, or if there is none. Returns whether the entry was stored.
-  bool Apply(const StateEntry& entry);
+  // Stores the entry if its version is higher than that of the local entry of
+  // the same name, or if there is none. After a restore of the store, entries
+  // that others write again are refused until HoldRemaining() is 0. Returns
+  // whether the entry was stored.
+  bool Apply(const StateEntry& entry, TimePoint now);
+
+  // Records an era that the store or a peer reported; logs a restore.
+  void ObserveEra(uint32_t era, TimePoint now);
+  // Returns how long entries of this era are still held back.
+  Milliseconds HoldRemaining(uint32_t era, TimePoint now) const {
+    return hold_.Remaining(era, now);
+  }
+  // Highest known era of the store; 0 if none is known.
+  uint32_t era() const { return hold_.era(); }
 
   // Returns nullptr if there is no entry of this name.
   const StateEntry* Find(std::string_view name) const;
   const EntryMap& entries() const { return entries_; }
-  // Returns the revision of every entry by the name of the entry.
-  RevisionMap Revisions() const;
-  // Returns the entries that have a higher revision than the given one or are
-  // absent from `revisions`.
-  std::vector<StateEntry> NewerThan(const RevisionMap& revisions) const;
-  // Hash of all names and revisions. Equal on instances with equal state.
+  // Returns the version of every entry by the name of the entry.
+  VersionMap Versions() const;
+  // Returns the entries that have a higher version than the given one or are
+  // absent from `versions`.
+  std::vector<StateEntry> NewerThan(const VersionMap& versions) const;
+  // Hash of all names and versions. Equal on instances with equal state.
   uint64_t digest() const { return digest_; }
-  // Sum of all revisions. Increases with each entry that is applied.
-  uint64_t revision_sum() const { return revision_sum_; }
+  // Sum of all packed versions. Increases with each entry that is applied.
+  uint64_t version_sum() const { return version_sum_; }
 
   // Returns whether the complete state was read from the store, or from a peer
   // whose state is complete. An instance serves no requests before that.
@@ -54,7 +66,8 @@
   Metrics& metrics_;
   EntryMap entries_;
   uint64_t digest_ = 0;
-  uint64_t revision_sum_ = 0;
+  uint64_t version_sum_ = 0;
+  RestoreHold hold_;
   bool complete_ = false;
   Channel<StateEntry> on_applied_;
 };
--- a/src/config/state_entry.h
+++ b/src/config/state_entry.h
@@ -1,10 +1,11 @@
 #ifndef REDWING_CONFIG_STATE_ENTRY_H_
 #define REDWING_CONFIG_STATE_ENTRY_H_
 
-#include <cstdint>
 #include <string>
 #include <string_view>
 
+#include "store/store_version.h"
+
 namespace redwing {
 
 // Kind and names of the objects in the store that contain the replicated state.
@@ -14,18 +15,18 @@
 inline constexpr std::string_view kDrainsName = "drains";
 inline constexpr std::string_view kListingName = "listing";
 // Name of the grow-only set of withdrawn keys. Versions of it are merged rather
-// than ordered by revision.
+// than ordered by version.
 inline constexpr std::string_view kWithdrawalsName = "withdrawals";
 
-// One entry of the replicated state. A higher revision replaces a lower one.
+// One entry of the replicated state. A higher version replaces a lower one.
 struct StateEntry {
   std::string name;
-  uint64_t revision = 0;
+  StoreVersion version;
   std::string body;  // JSON
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(name, revision, body);
+    archive(name, version, body);
   }
 };
 
--- a/src/config/state_source.h
+++ b/src/config/state_source.h
@@ -16,7 +16,7 @@
 // Entries of one kind, as of one version of the store.
 struct StateReading {
   // Version of the store at which the entries were read.
-  uint64_t version = 0;
+  StoreVersion version;
   std::vector<StateEntry> entries;
 };
 
@@ -25,7 +25,7 @@
   // False if the wait timed out without a change.
   bool changed = false;
   // Version of the store up to which there was no other change.
-  uint64_t version = 0;
+  StoreVersion version;
 };
 
 // Reads the replicated state from objects of the platform. Registered by the
@@ -44,9 +44,10 @@
   virtual Result<StateReading> Read(const std::string& kind,
                                     const Yield& yield) = 0;
   // Waits until an object of the kind has changed since `version`, for at most
-  // `limit`. Fails with kStoreUnavailable if the store cannot be read.
+  // `limit`. A restored store has changed. Fails with kStoreUnavailable if the
+  // store cannot be read.
   virtual Result<ChangeWait> AwaitChange(const std::string& kind,
-                                         uint64_t version,
+                                         const StoreVersion& version,
                                          Milliseconds limit,
                                          const Yield& yield) = 0;
 };
--- a/src/entry/internal/entry_handler.cc
+++ b/src/entry/internal/entry_handler.cc
@@ -51,6 +51,15 @@
   return members;
 }
 
+// Versions as numbers, which equal the revisions until the store is restored.
+json RevisionsJson(const ReplicatedState& state) {
+  json revisions = json::object();
+  for (const auto& [name, version] : state.Versions()) {
+    revisions[name] = version.packed();
+  }
+  return revisions;
+}
+
 json BudgetsJson(Budgets& budgets) {
   json list = json::array();
   for (const BudgetStatus& budget : budgets.Status()) {
@@ -259,7 +268,7 @@
                        {"fresh", services_.freshness->IsFresh(Clock::now())},
                        {"leaving", services_.membership->leaving()},
                        {"load_permille", services_.router->LoadPermille()},
-                       {"revisions", services_.state->Revisions()},
+                       {"revisions", RevisionsJson(*services_.state)},
                        {"members", MembersJson(*services_.membership)},
                        {"budgets", BudgetsJson(*services_.budgets)},
                        {"targets", TargetsJson(*services_.router)}};
--- a/src/membership/heartbeat.h
+++ b/src/membership/heartbeat.h
@@ -109,8 +109,8 @@
   // Latest incarnation of the receiver that the sender has seen.
   uint64_t incarnation_seen = 0;
   uint64_t state_digest = 0;
-  // Sum of the revisions of the sender's replicated state: the instance with
-  // the higher sum has changes that the other one lacks.
+  // Sum of the packed versions of the sender's replicated state: the instance
+  // with the higher sum has changes that the other one lacks.
   uint64_t state_sum = 0;
   uint64_t withdrawn_hash = 0;
   // Share of the sender's service capacity in use, 0 to 1000.
@@ -129,6 +129,9 @@
   std::vector<TargetRateReport> rate_limits;
   // False while the sender has lost its links to targets.
   bool reaches_targets = true;
+  // Highest era of the store that the sender knows; 0 if it knows none, or is
+  // of a build that knows no eras.
+  uint32_t store_era = 0;
 
   template <typename Archive>
   void serialize(Archive& archive) {
@@ -137,6 +140,7 @@
             load_permille, key_epoch, work, placed, relayed, departed);
     ArchiveAppended(archive, rate_limits);
     ArchiveAppended(archive, reaches_targets);
+    ArchiveAppended(archive, store_era);
   }
 };
 
--- a/src/membership/internal/heartbeat_membership.cc
+++ b/src/membership/internal/heartbeat_membership.cc
@@ -324,6 +324,7 @@
   member.acknowledged_incarnation = heartbeat.incarnation_seen;
   member.ready = heartbeat.ready;
   member.key_epoch = heartbeat.key_epoch;
+  member.store_era = heartbeat.store_era;
   member.incarnation_seen = envelope.incarnation;
   member.heartbeat_number_to_echo =
       std::max(member.heartbeat_number_to_echo, heartbeat.heartbeat_number);
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -34,6 +34,8 @@
   bool ready = false;
   // False while it has lost its links to targets.
   bool reaches_targets = true;
+  // Highest era of the store that it knows; 0 if it knows none.
+  uint32_t store_era = 0;
   // Time of its last heartbeat, received directly or relayed.
   TimePoint last_seen;
   // Time of the last heartbeat received directly from it. Only this time is
--- a/src/store/instance_directory.h
+++ b/src/store/instance_directory.h
@@ -9,6 +9,7 @@
 #include "framework/errors/result.h"
 #include "framework/http/http_types.h"
 #include "framework/kernel/clock.h"
+#include "store/store_version.h"
 
 namespace redwing {
 
@@ -35,7 +36,7 @@
 
 struct InstanceList {
   // Increases with every change of the list.
-  uint64_t version = 0;
+  StoreVersion version;
   std::vector<ListedInstance> instances;
 };
 
--- a/src/store/internal/kubernetes_store.cc
+++ b/src/store/internal/kubernetes_store.cc
@@ -278,8 +278,9 @@
   }
   try {
     InstanceList list;
-    list.version =
-        VersionNumber(response.value().at("metadata").at("resourceVersion"));
+    list.version = StoreVersion(
+        StoreVersion::kFirstEra,
+        VersionNumber(response.value().at("metadata").at("resourceVersion")));
     for (const json& slice : response.value().at("items")) {
       for (const json& endpoint : slice.at("endpoints")) {
         list.instances.push_back(ListedFromSlice(slice, endpoint));
--- a/testing/fuzz/fuzz.cc
+++ b/testing/fuzz/fuzz.cc
@@ -119,7 +119,7 @@
     WithdrawalsFromJson(source.value().root());
   }
   ShareHolders::Parse(text);
-  DecodeListing({"listing", 1, text});
+  DecodeListing({"listing", StoreVersion(1, 1), text});
   ParseRefusal(503, text);
 }
 
@@ -152,7 +152,7 @@
   (void)platform::DecodeTarget("i-1", value, zones);
   (void)DecodeInstanceRecord({"", "i-1", "1", value});
   const Result<std::vector<StateEntry>> entries =
-      platform::ManifestDecoder(zones).Decode(value, 1);
+      platform::ManifestDecoder(zones).Decode(value, StoreVersion(1, 1));
   if (entries) {
     for (const StateEntry& entry : entries.value()) {
       (void)ParseSection("platform", entry.body);
@@ -173,7 +173,8 @@
   heartbeat.placed = {{1, 2}};
   heartbeat.relayed = {{1, 20, true, false}};
   StateReply reply;
-  reply.entries = {{"section.a", 3, "{}"}, {"keys.0", 1, "{}"}};
+  reply.entries = {{"section.a", StoreVersion(1, 3), "{}"},
+                   {"keys.0", StoreVersion(2, 1), "{}"}};
   reply.withdrawn = {{"0123", "op", 5}};
   return {
       {&FuzzRequest,
--- a/testing/platform_stand_in/store_stand_in.cc
+++ b/testing/platform_stand_in/store_stand_in.cc
@@ -39,6 +39,7 @@
 }
 
 void StoreStandIn::Handle(HttpExchange& exchange, const Yield& yield) {
+  exchange.SetResponseField("Store-Era", std::to_string(era_));
   const std::optional<Url> url = ParseTarget(exchange.target());
   if (!url || url->path.rfind(kRoot, 0) != 0) {
     SendJson(exchange, 404, json::object(), yield);
@@ -70,6 +71,13 @@
   }
 }
 
+void StoreStandIn::Restore() {
+  objects_ = copy_.objects;
+  revision_ = copy_.revision;
+  changes_.clear();
+  ++era_;
+}
+
 uint64_t StoreStandIn::Put(const std::string& kind,
                            const std::string& name,
                            const json& spec) {
@@ -124,6 +132,7 @@
                          const Yield& yield) {
   const TimePoint end = Clock::now() + limit;
   const int silenced = silenced_;
+  const uint32_t era = era_;
   json events = json::array();
   while (events.empty() && Clock::now() < end) {
     if (silenced != silenced_) {
@@ -131,6 +140,11 @@
       exchange.Break();
       return;
     }
+    if (era != era_ || after > revision_) {
+      constexpr unsigned kGone = 410;
+      SendJson(exchange, kGone, json::object(), yield);
+      return;
+    }
     for (const Change& change : changes_) {
       if (change.revision > after && change.kind == kind) {
         events.push_back(change.event);
--- a/testing/platform_stand_in/store_stand_in.h
+++ b/testing/platform_stand_in/store_stand_in.h
@@ -35,6 +35,12 @@
   void Remove(const std::string& kind, const std::string& name);
   size_t Count(const std::string& kind) const;
 
+  // Keeps a copy of all objects, to which Restore() returns.
+  void KeepCopy() { copy_ = {objects_, revision_}; }
+  // Comes back from the copy: later writes are lost, revisions are assigned
+  // again, waits from revisions that do not exist get 410, and the era rises.
+  void Restore();
+
   // While down, each call is answered 503.
   void SetDown(bool down) { down_ = down; }
   // Waits for changes that are open now are never answered, though their
@@ -52,6 +58,12 @@
     nlohmann::json event;
   };
 
+  using ObjectMap = std::map<std::string, std::map<std::string, Object>>;
+  struct Copy {
+    ObjectMap objects;
+    uint64_t revision = 0;
+  };
+
   void List(HttpExchange& exchange,
             const std::string& kind,
             const Yield& yield);
@@ -76,10 +88,12 @@
   SocketRegistry sockets_;
   Metrics metrics_;
   HttpServer server_;
-  std::map<std::string, std::map<std::string, Object>> objects_;
+  ObjectMap objects_;
+  Copy copy_;
   std::map<std::string, std::vector<std::string>> raw_items_;
   std::deque<Change> changes_;
   uint64_t revision_ = 1;
+  uint32_t era_ = 1;
   bool down_ = false;
   // How often open waits were silenced.
   int silenced_ = 0;
