Bound what a connection buffers, and streamed answers in time (FAULT)

An answer without end was streamed on until the caller left.

Cause: Beast bounds heads and bodies, but not what it reads without handing it out (chunk lines, extensions, trailers), and the buffers had no max_size. Streaming was bounded by 600 s, not by the deadline. The body of a refusal that states "not run" was skipped without a bound.

Change: HttpConnection::kMaxBuffered (80 KB) for clients; head limit and one read, or one piece of a body, for servers, whatever the state of the message. Answers that are kept where possible end at the deadline. At most 64 KB and 100 ms of a refusal's body are skipped.

--- a/src/delivery/internal/upstream_attempt.cc
+++ b/src/delivery/internal/upstream_attempt.cc
@@ -28,6 +28,10 @@
 constexpr size_t kAttemptIdBytes = 8;
 constexpr Milliseconds kBodyIdleTimeout{10'000};
 constexpr Milliseconds kMaxBodyTime{600'000};
+// Bounds of reading what follows the header of a response that states that
+// nothing was run; it is only read to keep the connection.
+constexpr size_t kMaxSkippedBytes = 64 * 1024;  // bytes
+constexpr Milliseconds kMaxSkipTime{100};
 constexpr unsigned kMisdirectedStatus = 421;
 // Targets are a short round trip away, and there are others: a request that
 // has not been sent moves to another target before a lost packet is sent again.
@@ -251,11 +255,20 @@
 }
 
 void UpstreamAttempt::SkipBody(const Yield& yield) {
+  connection_->ExpiresAt(
+      std::min<TimePoint>(plan_.deadline, Clock::now() + kMaxSkipTime));
   std::string ignored(kPiece, '\0');
-  while (connection_->ReadBody(ignored.data(), ignored.size(), yield)) {
-    if (connection_->body_done()) {
+  size_t skipped = 0;
+  while (!connection_->body_done() && skipped < kMaxSkippedBytes) {
+    const Result<size_t> size =
+        connection_->ReadBody(ignored.data(), ignored.size(), yield);
+    if (!size) {
       break;
     }
+    skipped += size.value();
+  }
+  if (!connection_->body_done()) {
+    connection_->Abort();
   }
   pool_.Release(plan_.endpoint, connection_);
 }
@@ -364,7 +377,8 @@
 void UpstreamAttempt::StreamRest(HttpExchange& exchange,
                                  std::string_view buffered,
                                  const Yield& yield) {
-  const TimePoint end = Clock::now() + kMaxBodyTime;
+  const TimePoint end =
+      plan_.collect ? plan_.deadline : Clock::now() + kMaxBodyTime;
   const std::unique_ptr<char[]> buffer =
       std::make_unique_for_overwrite<char[]>(kPiece);
   size_t uncharged_header = kLinkHeaderBytes;
--- a/src/delivery/internal/upstream_attempt.h
+++ b/src/delivery/internal/upstream_attempt.h
@@ -109,7 +109,7 @@
   Result<void> ReadTargetHeader(const Yield& yield);
   Failure ReadRefusal(const Yield& yield);
   // Reads and discards the body of a response which states that nothing was
-  // run.
+  // run. Closes the connection if the body is long or late.
   void SkipBody(const Yield& yield);
   // Returns whether the response belongs to this attempt.
   bool IsResponseToAttempt() const;
@@ -122,7 +122,8 @@
   // Appends the next piece of the response's body.
   Result<void> ReadPiece(std::string* body, const Yield& yield);
   Result<void> Collect(HttpExchange& exchange, const Yield& yield);
-  // Sends `buffered` and the rest of the response's body to the caller.
+  // Sends `buffered` and the rest of the response's body to the caller. With
+  // plan.collect, a response that has not ended by the deadline is aborted.
   void StreamRest(HttpExchange& exchange,
                   std::string_view buffered,
                   const Yield& yield);
--- a/src/framework/http/http_connection.h
+++ b/src/framework/http/http_connection.h
@@ -19,6 +19,11 @@
 // reused: reusable() is false.
 class HttpConnection {
  public:
+  // Upper bound of the received bytes that one connection holds: a whole
+  // response header, and one piece of a body. Parts of a message that are not
+  // handed out, such as chunk extensions and trailers, fail beyond it.
+  static constexpr size_t kMaxBuffered = 80 * 1024;  // bytes
+
   HttpConnection(boost::asio::io_context& io, SocketRegistry& sockets);
 
   // Connects. Failures are kNotRun.
--- a/src/framework/http/http_exchange.h
+++ b/src/framework/http/http_exchange.h
@@ -26,6 +26,10 @@
  public:
   using Parser = http::request_parser<http::buffer_body>;
 
+  // Received bytes of a body that a connection holds. Beast reads as much as
+  // the buffer has room for.
+  static constexpr size_t kBodyBuffer = 16 * 1024;  // bytes
+
   HttpExchange(TimedSocket& socket,
                boost::beast::flat_buffer& buffer,
                Parser& parser,
--- a/src/framework/http/internal/http_connection.cc
+++ b/src/framework/http/internal/http_connection.cc
@@ -25,11 +25,15 @@
 // Beast reads as much as the buffer has room for: 512 bytes unless told.
 constexpr size_t kHeaderBuffer = 2 * 1024;  // bytes
 constexpr size_t kBodyBuffer = 16 * 1024;   // bytes
+static_assert(kResponseHeaderLimit + kBodyBuffer <=
+              HttpConnection::kMaxBuffered);
 }  // namespace
 
 HttpConnection::HttpConnection(boost::asio::io_context& io,
                                SocketRegistry& sockets)
-    : sockets_(sockets), socket_(sockets, boost::asio::ip::tcp::socket(io)) {
+    : sockets_(sockets),
+      socket_(sockets, boost::asio::ip::tcp::socket(io)),
+      buffer_(kMaxBuffered) {
   buffer_.reserve(kHeaderBuffer);
 }
 
--- a/src/framework/http/internal/http_exchange.cc
+++ b/src/framework/http/internal/http_exchange.cc
@@ -13,8 +13,6 @@
 namespace {
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr size_t kBodyPiece = 16 * 1024;  // bytes
-// Beast reads as much as the buffer has room for.
-constexpr size_t kBodyBuffer = 16 * 1024;  // bytes
 }  // namespace
 
 // Shared with the pending wait, which may end after the exchange.
--- a/src/framework/http/internal/http_session.cc
+++ b/src/framework/http/internal/http_session.cc
@@ -45,6 +45,12 @@
   }
 }
 
+void HttpSession::LimitBuffer() {
+  buffer_.max_size(
+      std::max({buffer_.size(), server_.limits_.header_bytes + kReadSize,
+                HttpExchange::kBodyBuffer}));
+}
+
 Result<size_t> HttpSession::ReadHead(const Yield& yield) {
   const size_t limit = server_.limits_.header_bytes;
   size_t searched = 0;
@@ -85,6 +91,7 @@
 
 bool HttpSession::ServeOne(const Yield& yield) {
   busy_ = false;
+  LimitBuffer();
   const Result<size_t> head = ReadHead(yield);
   busy_ = true;
   socket_.ExpiresNever();
--- a/src/framework/http/internal/http_session.h
+++ b/src/framework/http/internal/http_session.h
@@ -30,6 +30,9 @@
   // the connection.
   Result<size_t> ReadHead(const Yield& yield);
   bool ServeOne(const Yield& yield);
+  // Bounds the buffer by the limits in force: a whole request header, or one
+  // piece of a body.
+  void LimitBuffer();
   void Refuse(const Failure& failure, const Yield& yield);
   // Lets the caller read the response before the connection is reset by
   // unread request bytes.
--- a/testing/integration/faulty_target_test_fleet.cc
+++ b/testing/integration/faulty_target_test_fleet.cc
@@ -27,15 +27,48 @@
 constexpr int kInstances = 2;
 constexpr Milliseconds kStartLimit{15'000};
 constexpr Milliseconds kListLimit{5'000};
+// As in PlatformStandIn::Manifest(). Callers have a final answer within half a
+// second of it; the rest is for a busy machine.
+constexpr Milliseconds kRouteTimeout{3'000};
+constexpr Milliseconds kAnswerSlack{1'500};
+
+// Bytes that are sent without end stop after this many.
+constexpr size_t kEndless = 256 * 1024 * 1024;
+constexpr size_t kBlock = 256 * 1024;
+constexpr size_t kMaxGrowth = 32 * 1024 * 1024;
+
+// Repeats a text to blocks, and writes them, with a pause after each, until the
+// other side closes or kEndless bytes were written.
+void WriteWithoutEnd(tcp::socket& socket,
+                     const std::string& text,
+                     size_t block_size,
+                     Milliseconds pause) {
+  std::string block;
+  while (block.size() < block_size) {
+    block += text;
+  }
+  boost::system::error_code ec;
+  for (size_t sent = 0; !ec && sent < kEndless; sent += block.size()) {
+    boost::asio::write(socket, boost::asio::buffer(block), ec);
+    std::this_thread::sleep_for(pause);
+  }
+}
 
 // A target that writes raw bytes: what `respond` returns for the id of a
-// request and its number on the connection; none close the connection.
+// request and its number on the connection; none close the connection. After
+// them it repeats `filler`, if that is not empty, until its caller closes.
 class RawTarget {
  public:
   using Respond = std::function<std::string(const std::string& id, int number)>;
 
-  explicit RawTarget(Respond respond)
+  explicit RawTarget(Respond respond,
+                     std::string filler = "",
+                     size_t block_size = kBlock,
+                     Milliseconds pause = Milliseconds(0))
       : respond_(std::move(respond)),
+        filler_(std::move(filler)),
+        block_size_(block_size),
+        pause_(pause),
         acceptor_(io_, TcpEndpoint("127.0.0.1:0")),
         thread_([this]() { Accept(); }) {}
   ~RawTarget() {
@@ -84,7 +117,11 @@
       const std::string bytes = respond_(IdOf(buffer.substr(0, size)), number);
       buffer.erase(0, size);
       boost::asio::write(socket, boost::asio::buffer(bytes), ec);
-      if (ec || bytes.find("\r\n\r\n") == std::string::npos) {
+      if (!ec && !filler_.empty()) {
+        WriteWithoutEnd(socket, filler_, block_size_, pause_);
+      }
+      if (ec || !filler_.empty() ||
+          bytes.find("\r\n\r\n") == std::string::npos) {
         socket.shutdown(tcp::socket::shutdown_both, ec);
         return;
       }
@@ -99,6 +136,9 @@
 
   boost::asio::io_context io_;
   Respond respond_;
+  std::string filler_;
+  size_t block_size_;
+  Milliseconds pause_;
   tcp::acceptor acceptor_;
   std::atomic<bool> stopped_ = false;
   std::list<tcp::socket> sockets_;
@@ -125,6 +165,45 @@
   });
 }
 
+// Samples the resident memory of the instances; the highest growth of one.
+class MemoryWatch {
+ public:
+  explicit MemoryWatch(PlatformStandIn& fleet) : fleet_(fleet) {
+    for (int i = 0; i < kInstances; ++i) {
+      before_.push_back(fleet_.instance(i).ResidentBytes());
+    }
+    thread_ = std::thread([this]() { Run(); });
+  }
+  ~MemoryWatch() { Stop(); }
+  MemoryWatch(const MemoryWatch&) = delete;
+  MemoryWatch& operator=(const MemoryWatch&) = delete;
+
+  size_t Stop() {
+    stopped_ = true;
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+    return growth_;
+  }
+
+ private:
+  void Run() {
+    while (!stopped_) {
+      for (int i = 0; i < kInstances; ++i) {
+        const size_t now = fleet_.instance(i).ResidentBytes();
+        growth_ = std::max(growth_, now > before_[i] ? now - before_[i] : 0);
+      }
+      std::this_thread::sleep_for(Milliseconds(10));
+    }
+  }
+
+  PlatformStandIn& fleet_;
+  std::vector<size_t> before_;
+  size_t growth_ = 0;
+  std::atomic<bool> stopped_ = false;
+  std::thread thread_;
+};
+
 std::string Head(int status, const std::string& id, const std::string& more) {
   return fmt::format("HTTP/1.1 {} X\r\nX-Redwingcart-Request-Id: {}\r\n{}\r\n",
                      status, id, more);
@@ -241,5 +320,107 @@
   CHECK(asked > 0);
 }
 
+// Guards against a target's bytes without end filling the memory of an
+// instance, or holding its callers past the route's timeout.
+TEST_CASE("an answer without end takes no memory and ends at the timeout") {
+  const std::string signed_head = "X-Redwingcart-Response-Signature: s\r\n";
+  const std::string chunked = signed_head + "Transfer-Encoding: chunked\r\n";
+  struct Answer {
+    std::string fields;
+    std::string beginning;
+    std::string filler;
+  };
+  const Answer answer = GENERATE_COPY(
+      Answer{chunked, "5;", "x"}, Answer{chunked, "5;a=\"", "x"},
+      Answer{chunked, "", "1000\r\n" + std::string(4096, 'x') + "\r\n"},
+      Answer{chunked, "5\r\nhello\r\n0\r\nX: ", "x"},
+      Answer{chunked, "5\r\nhello\r\n0\r\n", "X: y\r\n"},
+      Answer{signed_head, "", "x"});
+  CAPTURE(answer.fields, answer.beginning, answer.filler.substr(0, 20));
+  RawTarget target(
+      [&](const std::string& id, int /*number*/) {
+        return Head(200, id, answer.fields) + answer.beginning;
+      },
+      answer.filler);
+  PlatformStandIn fleet(kInstances);
+  REQUIRE(fleet.AwaitReady(kStartLimit));
+  ReplaceTargets(fleet, target);
+  std::this_thread::sleep_for(kListLimit / 2);
+  MemoryWatch memory(fleet);
+  for (int i = 0; i < 2 * kInstances; ++i) {
+    const TimePoint sent = Clock::now();
+    const Result<HttpReply> reply =
+        fleet.Send(i % kInstances, fmt::format("endless-{}", i));
+    // The request may have run.
+    CHECK((!reply || reply.value().status == 502 ||
+           reply.value().status == 504 ||
+           (reply.value().status == 503 && i > 0)));
+    CHECK(Clock::now() - sent < kRouteTimeout + kAnswerSlack);
+  }
+  CHECK(memory.Stop() < kMaxGrowth);
+  for (int i = 0; i < kInstances; ++i) {
+    CHECK(fleet.instance(i).running());
+  }
+}
+
+// Guards against answers that are streamed on past the route's timeout.
+TEST_CASE("an answer that is streamed without end ends at the timeout") {
+  // Less than a caller of the test accepts, more than is kept of an answer.
+  constexpr size_t kPiece = 32 * 1024;
+  constexpr Milliseconds kPause{50};
+  const bool chunked = GENERATE(true, false);
+  CAPTURE(chunked);
+  RawTarget target(
+      [chunked](const std::string& id, int /*number*/) {
+        return Head(200, id,
+                    std::string("X-Redwingcart-Response-Signature: s\r\n") +
+                        (chunked ? "Transfer-Encoding: chunked\r\n" : ""));
+      },
+      chunked ? "1000\r\n" + std::string(4096, 'x') + "\r\n" : "x", kPiece,
+      kPause);
+  PlatformStandIn fleet(kInstances);
+  REQUIRE(fleet.AwaitReady(kStartLimit));
+  ReplaceTargets(fleet, target);
+  std::this_thread::sleep_for(kListLimit / 2);
+  for (int i = 0; i < kInstances; ++i) {
+    const TimePoint sent = Clock::now();
+    const Result<HttpReply> reply =
+        fleet.Send(i, fmt::format("streamed-{}", i));
+    // What was cut must not look complete, chunked or not.
+    CHECK((!reply || reply.value().status >= 500));
+    CHECK(Clock::now() - sent < kRouteTimeout + kAnswerSlack);
+  }
+}
+
+// Guards against a caller's bytes without end filling the memory of an
+// instance.
+TEST_CASE("a request without end takes no memory and is refused") {
+  const std::string beginning = GENERATE(
+      as<std::string>(), "5;", "5\r\nhello\r\n0\r\nX: ", "5\r\nhello\r\n0");
+  CAPTURE(beginning);
+  PlatformStandIn fleet(kInstances);
+  REQUIRE(fleet.AwaitReady(kStartLimit));
+  MemoryWatch memory(fleet);
+  for (int i = 0; i < kInstances; ++i) {
+    boost::asio::io_context io;
+    tcp::socket socket(io);
+    socket.connect(TcpEndpoint(fleet.front(i)));
+    boost::asio::write(socket,
+                       boost::asio::buffer(fmt::format(
+                           "POST /unsafe/1 HTTP/1.1\r\nHost: shop.example\r\n"
+                           "X-Redwingcart-Request-Id: endless-{}\r\n"
+                           "Authorization: Bearer key-one\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n{}",
+                           i, beginning)));
+    WriteWithoutEnd(socket, "x", kBlock, Milliseconds(0));
+  }
+  CHECK(memory.Stop() < kMaxGrowth);
+  for (int i = 0; i < kInstances; ++i) {
+    CHECK(fleet.instance(i).running());
+  }
+  const Result<HttpReply> other = fleet.Send(0, "other");
+  CHECK((other && other.value().status == 200));
+}
+
 }  // namespace
 }  // namespace redwing::testing
