Keep hop tokens small and let no exception end the process (FAULT)

Heads of some 4 KB to 16 KB got 502.

Cause: the token of a forwarded request held its target twice, in hexadecimal, in one field; Beast throws above 65,533 bytes, and nothing caught it. The instances' own servers took heads of 16 KB, token included.

Change: beyond 3 KB a token holds the digest of the request line and no target. Servers of instances accept the callers' limit and 16 KB. Class: Spawn reports an exception and ends that coroutine alone; service coroutines run again, periodic tasks, the acceptor, datagrams and the event loop go on; a request whose handler threw is answered 500, may_have_run. A field beyond 65,533 bytes is refused with 431. JSON of foreign text is written with replacement characters.

--- a/src/admin/internal/admin_handler.cc
+++ b/src/admin/internal/admin_handler.cc
@@ -12,6 +12,7 @@
 #include "framework/http/refusal.h"
 #include "framework/metrics/metrics.h"
 #include "framework/settings/json_source.h"
+#include "framework/wire/json_text.h"
 #include "keys/api_key.h"
 #include "steering/steering_document.h"
 
@@ -75,7 +76,7 @@
            {{"outcome", answer ? "ok" : ErrcName(answer.error().errc)}})
       .Add();
   if (answer) {
-    exchange.Respond(200, "application/json", answer.value().dump(), yield);
+    exchange.Respond(200, "application/json", JsonText(answer.value()), yield);
   } else {
     SendRefusal(exchange, answer.error(), yield);
   }
--- a/src/budget/internal/share_holders.cc
+++ b/src/budget/internal/share_holders.cc
@@ -1,4 +1,5 @@
 #include "budget/internal/share_holders.h"
+#include "framework/wire/json_text.h"
 
 #include <nlohmann/json.hpp>
 
@@ -50,7 +51,7 @@
         {"fleet", holder.fleet_parts},  {"in_region", holder.region_parts},
         {"revoked", holder.revoked},    {"inherited", holder.inherited}};
   }
-  return value.dump();
+  return JsonText(value);
 }
 
 }  // namespace redwing
--- a/src/budget/internal/share_ledger.cc
+++ b/src/budget/internal/share_ledger.cc
@@ -64,7 +64,7 @@
 }
 
 void ShareLedger::Start() {
-  Spawn(io_, [this](const Yield& yield) { Loop(yield); });
+  SpawnService(io_, "plan_shares", [this](const Yield& yield) { Loop(yield); });
 }
 
 double ShareLedger::OwnShare(BudgetScope scope, TimePoint now) const {
--- a/src/config/internal/listing_codec.cc
+++ b/src/config/internal/listing_codec.cc
@@ -1,4 +1,5 @@
 #include "config/listing_codec.h"
+#include "framework/wire/json_text.h"
 
 #include <nlohmann/json.hpp>
 
@@ -22,7 +23,7 @@
                      {"started_at", instance.started_at},
                      {"warm_up_left_ms", instance.warm_up_left.count()}});
   }
-  return {std::string(kListingName), list.version, items.dump()};
+  return {std::string(kListingName), list.version, JsonText(items)};
 }
 
 InstanceList DecodeListing(const StateEntry& entry) {
--- a/src/config/internal/source_feed.cc
+++ b/src/config/internal/source_feed.cc
@@ -42,9 +42,11 @@
   unread_.insert(std::string(kListingName));
   for (const std::string& kind : source_->Kinds()) {
     unread_.insert(kind);
-    Spawn(io_, [this, kind](const Yield& yield) { FollowKind(kind, yield); });
+    SpawnService(io_, "follow_kind",
+                 [this, kind](const Yield& yield) { FollowKind(kind, yield); });
   }
-  Spawn(io_, [this](const Yield& yield) { FollowListing(yield); });
+  SpawnService(io_, "follow_listing",
+               [this](const Yield& yield) { FollowListing(yield); });
 }
 
 bool SourceFeed::ReadsStore() const {
--- a/src/config/internal/store_watcher.cc
+++ b/src/config/internal/store_watcher.cc
@@ -48,8 +48,10 @@
 }
 
 void StoreWatcher::Start() {
-  Spawn(io_, [this](const Yield& yield) { WatchLoop(yield); });
-  Spawn(io_, [this](const Yield& yield) { PollLoop(yield); });
+  SpawnService(io_, "watch_state",
+               [this](const Yield& yield) { WatchLoop(yield); });
+  SpawnService(io_, "poll_state",
+               [this](const Yield& yield) { PollLoop(yield); });
 }
 
 bool StoreWatcher::is_watcher() const {
--- a/src/ctl/internal/admin_client.cc
+++ b/src/ctl/internal/admin_client.cc
@@ -4,6 +4,7 @@
 #include "framework/http/refusal.h"
 #include "framework/http/socket_registry.h"
 #include "framework/kernel/spawn.h"
+#include "framework/wire/json_text.h"
 
 namespace redwing {
 
@@ -21,7 +22,7 @@
   call.endpoint = endpoint_;
   call.method = method;
   call.target = target;
-  call.body = body.is_null() ? "" : body.dump();
+  call.body = body.is_null() ? "" : JsonText(body);
   call.timeout = kTimeout;
   call.headers["Authorization"] = "Bearer " + key_;
   Result<HttpReply> reply = NotRun(Errc::kInternal, "not called");
--- a/src/delivery/internal/hop_token.cc
+++ b/src/delivery/internal/hop_token.cc
@@ -1,5 +1,6 @@
 #include "delivery/internal/hop_token.h"
 
+#include <fmt/format.h>
 #include <sodium.h>
 
 #include <algorithm>
@@ -14,6 +15,9 @@
 constexpr size_t kDigestText = kDigestBytes * 2;
 // Domain separation of these digests from those of peer messages.
 constexpr std::string_view kDomain = "hop:";
+// Key of the digests of request lines, and their mark: no method contains it.
+constexpr std::string_view kLineKey = "hop-request-line";
+constexpr char kDigestMark = '#';
 
 std::string ToHexText(const std::string& bytes) {
   std::string text(bytes.size() * 2 + 1, '\0');
@@ -39,15 +43,33 @@
 
 }  // namespace
 
+std::string RequestLineOf(std::string_view method, std::string_view target) {
+  std::string line = fmt::format("{} {}", method, target);
+  return line.size() <= kMaxTokenLine
+             ? line
+             : kDigestMark + ToHex(KeyedDigest(kLineKey, line));
+}
+
+std::string TargetOf(const HopToken& token,
+                     std::string_view prefix,
+                     std::string_view forwarded_target) {
+  const size_t begin = prefix.size() + token.service.size();
+  if (!token.target.empty() || begin > forwarded_target.size()) {
+    return token.target;
+  }
+  return std::string(forwarded_target.substr(begin));
+}
+
 Result<void> CheckAddressee(const HopToken& token,
                             const std::string& process_id,
-                            const std::string& request_line) {
+                            std::string_view method,
+                            std::string_view target) {
   if (token.to_process != process_id) {
     return NotRun(
         Errc::kPeerUnreachable,
         "the process that the hop was addressed to has been replaced");
   }
-  if (token.request_line != request_line) {
+  if (token.request_line != RequestLineOf(method, target)) {
     return NotRun(Errc::kPeerUnreachable,
                   "hop token does not match the request line");
   }
--- a/src/delivery/internal/hop_token.h
+++ b/src/delivery/internal/hop_token.h
@@ -18,10 +18,12 @@
   std::string workspace;
   std::string key_id;
   std::string request_id;
-  // Method and request target; binds the token to one request.
+  // Method and request target as RequestLineOf() returns them; binds the token
+  // to one request.
   std::string request_line;
   // Name of the route by host, the selected service, and the request target as
-  // the caller wrote it; empty if the route belongs to the service.
+  // the caller wrote it; empty if the route belongs to the service. The target
+  // is also empty if it is too long for a token: see TargetOf().
   std::string host_route;
   std::string service;
   std::string target;
@@ -43,13 +45,28 @@
   }
 };
 
+// Longest request line that a token repeats. With a longer one, a request would
+// exceed the 16 KB that builds without digests accept as a head.
+constexpr size_t kMaxTokenLine = 3 * 1024;  // bytes
+
+// Returns a request line as a token holds it: as it is, or the digest of a long
+// one, so that the size of a token does not depend on the request.
+std::string RequestLineOf(std::string_view method, std::string_view target);
+
+// Returns the caller's request target, which the token holds, or which is the
+// rest of `forwarded_target` after the prefix and the service.
+std::string TargetOf(const HopToken& token,
+                     std::string_view prefix,
+                     std::string_view forwarded_target);
+
 // Checks that a token is for the given process and request. Fails with
 // kPeerUnreachable, kNotRun if the addressed process has been replaced or the
 // hop was misrouted; neither is the caller's error, and another candidate may
 // succeed.
 Result<void> CheckAddressee(const HopToken& token,
                             const std::string& process_id,
-                            const std::string& request_line);
+                            std::string_view method,
+                            std::string_view target);
 
 // Signs hop tokens with the first secret and verifies them with any secret.
 class HopSigner {
--- a/src/delivery/internal/request_admitter.cc
+++ b/src/delivery/internal/request_admitter.cc
@@ -69,15 +69,22 @@
   context.begun = Clock::now();
   const bool by_host = addressing == Addressing::kByHost;
   const bool hop = !by_host && !exchange.Header(kHopField).empty();
+  // The server accepts longer heads of forwarded requests.
+  const size_t head_limit = context.document->caller_limits().header_bytes;
+  if (!hop && exchange.head_bytes() > head_limit) {
+    return NotRun(Errc::kHeaderTooLarge,
+                  fmt::format("the request head exceeds {} bytes", head_limit));
+  }
   const Result<HopToken> token =
       hop ? signer_.Verify(exchange.Header(kHopField)) : HopToken();
   if (!token) {
     return token.error();
   }
-  const Result<void> routed = by_host ? FindHostRoute(exchange, point, &context)
-                              : !token.value().host_route.empty()
-                                  ? FindForwardedRoute(token.value(), &context)
-                                  : FindRoute(exchange, *url, &context);
+  const Result<void> routed =
+      by_host ? FindHostRoute(exchange, point, &context)
+      : !token.value().host_route.empty()
+          ? FindForwardedRoute(exchange, token.value(), &context)
+          : FindRoute(exchange, *url, &context);
   if (!routed) {
     return routed.error();
   }
@@ -162,6 +169,7 @@
 }
 
 Result<void> RequestAdmitter::FindForwardedRoute(
+    const HttpExchange& exchange,
     const HopToken& token,
     RequestContext* context) const {
   context->host_route =
@@ -173,7 +181,8 @@
                   "the route is not in this instance's configuration");
   }
   context->route = &context->host_route->route;
-  context->target = token.target;
+  context->target =
+      TargetOf(token, RequestHandler::kPathPrefix, exchange.target());
   return boost::outcome_v2::success();
 }
 
@@ -283,10 +292,8 @@
 Result<void> RequestAdmitter::CheckHop(const HttpExchange& exchange,
                                        const HopToken& token,
                                        RequestContext* context) const {
-  const std::string request_line =
-      fmt::format("{} {}", exchange.method(), exchange.target());
-  const Result<void> addressed =
-      CheckAddressee(token, identity_->process_id, request_line);
+  const Result<void> addressed = CheckAddressee(
+      token, identity_->process_id, exchange.method(), exchange.target());
   if (!addressed) {
     return addressed;
   }
--- a/src/delivery/internal/request_admitter.h
+++ b/src/delivery/internal/request_admitter.h
@@ -57,7 +57,8 @@
                              double point,
                              RequestContext* context) const;
   // Finds the route that the forwarding instance has selected.
-  Result<void> FindForwardedRoute(const HopToken& token,
+  Result<void> FindForwardedRoute(const HttpExchange& exchange,
+                                  const HopToken& token,
                                   RequestContext* context) const;
   Result<void> CheckCaller(const HttpExchange& exchange,
                            const Url& url,
--- a/src/delivery/internal/upstream_sender.cc
+++ b/src/delivery/internal/upstream_sender.cc
@@ -204,7 +204,10 @@
   token.owner_hop = owner_hop;
   const std::string target = fmt::format("{}{}{}", RequestHandler::kPathPrefix,
                                          context.service->name, context.target);
-  token.request_line = fmt::format("{} {}", delivery.exchange.method(), target);
+  token.request_line = RequestLineOf(delivery.exchange.method(), target);
+  if (target.size() > kMaxTokenLine) {
+    token.target.clear();
+  }
   plan.endpoint = TcpEndpoint(member.http_address);
   plan.header.target(target);
   plan.header.set(BeastView(kHopField), signer_.Sign(token));
--- a/src/delivery/request_handler.h
+++ b/src/delivery/request_handler.h
@@ -1,6 +1,7 @@
 #ifndef REDWING_DELIVERY_REQUEST_HANDLER_H_
 #define REDWING_DELIVERY_REQUEST_HANDLER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 #include <vector>
@@ -20,6 +21,9 @@
   // and by the path that the target receives.
   static constexpr std::string_view kPathPrefix = "/v1/services/";
 
+  // Upper bound of what forwarding adds to the head of a request.
+  static constexpr size_t kMaxForwardingBytes = 16 * 1024;
+
   virtual ~RequestHandler() = default;
 
   // Handles one request whose path begins with kPathPrefix.
--- a/src/entry/entry_module.h
+++ b/src/entry/entry_module.h
@@ -14,6 +14,7 @@
 class PeerTransport;
 class Metrics;
 class PeriodicTask;
+class SteeringConfig;
 struct Identity;
 
 // The HTTP interface of an entry instance and its graceful shutdown.
@@ -30,8 +31,12 @@
   void Stop() override;
 
  private:
+  // A head that a caller may send must also pass between instances.
+  void ApplyCallerLimits();
+
   EntrySettings settings_;
   std::shared_ptr<Identity> identity_;
+  std::shared_ptr<SteeringConfig> config_;
   std::shared_ptr<PeerTransport> transport_;
   std::unique_ptr<EntryHandler> handler_;
   std::unique_ptr<HttpServer> server_;
--- a/src/entry/internal/entry_handler.cc
+++ b/src/entry/internal/entry_handler.cc
@@ -17,6 +17,7 @@
 #include "framework/http/url.h"
 #include "framework/kernel/sleep.h"
 #include "framework/metrics/metrics.h"
+#include "framework/wire/json_text.h"
 #include "membership/identity.h"
 #include "membership/membership.h"
 #include "routing/entry_lookup.h"
@@ -92,13 +93,6 @@
   return list;
 }
 
-// Texts may hold bytes of callers that are no UTF-8.
-std::string DumpLossy(const json& value) {
-  constexpr int kNoIndent = -1;
-  return value.dump(kNoIndent, ' ', /*ensure_ascii=*/false,
-                    json::error_handler_t::replace);
-}
-
 json WithdrawalJson(const std::string& id, const WithdrawalStatus& status) {
   return {{"key_id", id},
           {"in_force", status.in_force()},
@@ -247,8 +241,7 @@
   }
   const bool ready = reasons.empty();
   exchange.Respond(ready ? 200 : 503, kJson,
-                   json({{"ready", ready}, {"reasons", reasons}}).dump(),
-                   yield);
+                   JsonText({{"ready", ready}, {"reasons", reasons}}), yield);
 }
 
 void EntryHandler::ShowMetrics(HttpExchange& exchange,
@@ -272,7 +265,7 @@
                        {"members", MembersJson(*services_.membership)},
                        {"budgets", BudgetsJson(*services_.budgets)},
                        {"targets", TargetsJson(*services_.router)}};
-  exchange.Respond(200, kJson, status.dump(), yield);
+  exchange.Respond(200, kJson, JsonText(status), yield);
 }
 
 void EntryHandler::Withdraw(HttpExchange& exchange,
@@ -294,7 +287,7 @@
     SleepFor(io_, kWithdrawPoll, yield);
     status = services_.withdrawals->StatusOf(*id);
   }
-  exchange.Respond(200, kJson, WithdrawalJson(*id, status).dump(), yield);
+  exchange.Respond(200, kJson, JsonText(WithdrawalJson(*id, status)), yield);
 }
 
 void EntryHandler::Decisions(HttpExchange& exchange,
@@ -315,7 +308,7 @@
   const json answer = {{"instance", services_.identity->name},
                        {"region", services_.identity->region},
                        {"decisions", std::move(decisions)}};
-  exchange.Respond(200, kJson, DumpLossy(answer), yield);
+  exchange.Respond(200, kJson, JsonText(answer), yield);
 }
 
 bool EntryHandler::Authorized(const HttpExchange& exchange) const {
--- a/src/entry/internal/entry_module.cc
+++ b/src/entry/internal/entry_module.cc
@@ -55,13 +55,15 @@
   services.budgets = kernel.Find<Budgets>();
   services.router = kernel.Find<TargetRouter>();
   services.withdrawals = kernel.Find<Withdrawals>();
-  handler_ = std::make_unique<EntryHandler>(kernel.io(), std::move(services),
-                                            settings_.fleet_secrets);
+  config_ = services.config;
   HttpServerLimits limits;
+  limits.header_bytes += RequestHandler::kMaxForwardingBytes;
   limits.connections = settings_.max_connections;
   limits.idle_timeout = settings_.idle_timeout;
   limits.header_timeout = settings_.header_timeout;
   limits.io_timeout = settings_.io_timeout;
+  handler_ = std::make_unique<EntryHandler>(kernel.io(), std::move(services),
+                                            settings_.fleet_secrets);
   server_ =
       std::make_unique<HttpServer>(kernel.io(), *kernel.Find<SocketRegistry>(),
                                    *kernel.Find<Metrics>(), *handler_, limits);
@@ -73,6 +75,7 @@
 }
 
 void EntryModule::ResolveDependencies(Kernel& kernel) {
+  config_->on_change().Subscribe([this]() { ApplyCallerLimits(); });
   metrics_ = kernel.Find<Metrics>();
   log_counters_ = std::make_unique<PeriodicTask>(
       kernel.io(), kCountersInterval,
@@ -93,6 +96,13 @@
   std::fflush(stdout);
 }
 
+void EntryModule::ApplyCallerLimits() {
+  HttpServerLimits limits = server_->limits();
+  limits.header_bytes = config_->document()->caller_limits().header_bytes +
+                        RequestHandler::kMaxForwardingBytes;
+  server_->SetLimits(limits);
+}
+
 void EntryModule::BeginDrain() {
   graceful_stop_->Begin();
 }
--- a/src/framework/http/http_exchange.h
+++ b/src/framework/http/http_exchange.h
@@ -33,7 +33,8 @@
   HttpExchange(TimedSocket& socket,
                boost::beast::flat_buffer& buffer,
                Parser& parser,
-               const HttpServerLimits& limits);
+               const HttpServerLimits& limits,
+               size_t head_bytes);
   ~HttpExchange();
   HttpExchange(const HttpExchange&) = delete;
   HttpExchange& operator=(const HttpExchange&) = delete;
@@ -42,6 +43,8 @@
   std::string_view target() const { return StdView(request().target()); }
   std::string_view method() const { return StdView(request().method_string()); }
   std::string_view Header(std::string_view name) const;
+  // Size of the request line and all fields as received.
+  size_t head_bytes() const { return head_bytes_; }
   bool has_body() const { return !parser_.is_done(); }
   std::optional<uint64_t> content_length() const;
 
@@ -102,6 +105,7 @@
   TimedSocket& socket_;
   boost::beast::flat_buffer& buffer_;
   Parser& parser_;
+  size_t head_bytes_;
   Milliseconds io_timeout_;
   bool fractional_retry_after_;
   std::optional<Response> response_;
--- a/src/framework/http/internal/connection_acceptor.cc
+++ b/src/framework/http/internal/connection_acceptor.cc
@@ -2,6 +2,7 @@
 
 #include <memory>
 
+#include "framework/kernel/guard.h"
 #include "framework/kernel/timer.h"
 
 namespace redwing {
@@ -44,7 +45,7 @@
     if (ec) {
       break;
     }
-    on_connection_(std::move(accepted));
+    RunGuarded("accept", [&]() { on_connection_(std::move(accepted)); });
   }
   // Who opened a connection may be gone before it is accepted.
   return !ec || ec == boost::asio::error::would_block ||
--- a/src/framework/http/internal/core_module.cc
+++ b/src/framework/http/internal/core_module.cc
@@ -1,6 +1,7 @@
 #include "framework/http/core_module.h"
 
 #include "framework/http/socket_registry.h"
+#include "framework/kernel/guard.h"
 #include "framework/kernel/kernel.h"
 #include "framework/kernel/periodic_task.h"
 #include "framework/log/log.h"
@@ -39,6 +40,10 @@
       ->Gauge("redwing_log_lines_lost",
               "Log lines left out beyond the rate or unread, in lines")
       .Set(static_cast<double>(LostLogLines()));
+  metrics_
+      ->Gauge("redwing_uncaught_exceptions",
+              "Exceptions that ended a task since the start, in exceptions")
+      .Set(static_cast<double>(UncaughtCount()));
 }
 
 void CoreModule::RegisterServices(Kernel& kernel) {
--- a/src/framework/http/internal/http_exchange.cc
+++ b/src/framework/http/internal/http_exchange.cc
@@ -23,10 +23,12 @@
 HttpExchange::HttpExchange(TimedSocket& socket,
                            boost::beast::flat_buffer& buffer,
                            Parser& parser,
-                           const HttpServerLimits& limits)
+                           const HttpServerLimits& limits,
+                           size_t head_bytes)
     : socket_(socket),
       buffer_(buffer),
       parser_(parser),
+      head_bytes_(head_bytes),
       io_timeout_(limits.io_timeout),
       fractional_retry_after_(limits.fractional_retry_after),
       keep_alive_(parser.get().keep_alive()) {}
--- a/src/framework/http/internal/http_session.cc
+++ b/src/framework/http/internal/http_session.cc
@@ -8,6 +8,7 @@
 #include "framework/http/header_check.h"
 #include "framework/http/http_server.h"
 #include "framework/http/refusal.h"
+#include "framework/kernel/guard.h"
 #include "framework/metrics/metrics.h"
 
 namespace redwing {
@@ -112,9 +113,15 @@
   parser.header_limit(server_.limits_.header_bytes);
   parser.body_limit(server_.limits_.body_bytes);
   boost::system::error_code ec;
-  const size_t used =
-      parser.put(boost::asio::buffer(buffer_.data().data(), head.value()), ec);
-  buffer_.consume(used);
+  // Beast throws for a field that is longer than it can store.
+  const bool parsed = RunGuarded("parse_head", [&]() {
+    buffer_.consume(parser.put(
+        boost::asio::buffer(buffer_.data().data(), head.value()), ec));
+  });
+  if (!parsed) {
+    Refuse(NotRun(Errc::kHeaderTooLarge, "a header field is too large"), yield);
+    return false;
+  }
   if (ec == http::error::body_limit) {
     Refuse(NotRun(Errc::kBodyTooLarge, "request body is too large"), yield);
     return false;
@@ -131,11 +138,18 @@
     Refuse(NotRun(Errc::kMalformedRequest, *framing_problem), yield);
     return false;
   }
-  HttpExchange exchange(socket_, buffer_, parser, server_.limits_);
+  HttpExchange exchange(socket_, buffer_, parser, server_.limits_,
+                        head.value());
   if (server_.draining() || server_.closing_) {
     exchange.CloseAfterwards();
   }
-  server_.handler_.Handle(exchange, yield);
+  const bool handled = RunGuarded(
+      "request", [&]() { server_.handler_.Handle(exchange, yield); });
+  if (!handled && !exchange.response_begun() && !exchange.broken()) {
+    SendRefusal(exchange,
+                MayHaveRun(Errc::kInternal, "the request ended unexpectedly"),
+                yield);
+  }
   if (!exchange.response_complete()) {
     exchange.Break();
     return false;
--- a/src/framework/http/internal/refusal.cc
+++ b/src/framework/http/internal/refusal.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "framework/http/http_exchange.h"
+#include "framework/wire/json_text.h"
 
 namespace redwing {
 
@@ -58,7 +59,7 @@
   if (failure.retry_after.count() > 0) {
     body["retry_after_ms"] = failure.retry_after.count();
   }
-  return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return JsonText(body);
 }
 
 ResponseHeader RefusalHeader(const Failure& failure) {
--- a/src/framework/kernel/internal/kernel.cc
+++ b/src/framework/kernel/internal/kernel.cc
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include "framework/kernel/guard.h"
+
 namespace redwing {
 
 // One thread runs the loop, so nothing in it is locked.
@@ -41,7 +43,9 @@
 void Kernel::Run() {
   const boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       guard = boost::asio::make_work_guard(io_);
-  io_.run();
+  // Handlers that are still queued go on after an exception of one of them.
+  while (!RunGuarded("event_handler", [this]() { io_.run(); })) {
+  }
 }
 
 void Kernel::AddService(std::string_view name,
--- a/src/framework/kernel/internal/periodic_task.cc
+++ b/src/framework/kernel/internal/periodic_task.cc
@@ -1,5 +1,7 @@
 #include "framework/kernel/periodic_task.h"
 
+#include "framework/kernel/guard.h"
+
 namespace redwing {
 
 PeriodicTask::PeriodicTask(boost::asio::io_context& io,
@@ -22,7 +24,7 @@
       return;
     }
     Schedule();
-    function_();
+    RunGuarded("periodic_task", function_);
   });
 }
 
--- a/src/framework/peer/internal/socket_peer_transport.cc
+++ b/src/framework/peer/internal/socket_peer_transport.cc
@@ -6,6 +6,7 @@
 
 #include "framework/http/socket_registry.h"
 #include "framework/http/timed_socket.h"
+#include "framework/kernel/guard.h"
 #include "framework/kernel/spawn.h"
 #include "framework/metrics/metrics.h"
 #include "framework/settings/endpoint.h"
@@ -218,7 +219,7 @@
     }
     // Other errors are of one datagram: a peer's port may be closed.
     if (!ec) {
-      HandleDatagram({buffer_.data(), size});
+      RunGuarded("datagram", [&]() { HandleDatagram({buffer_.data(), size}); });
     }
   }
 }
--- a/src/membership/internal/instance_registration.cc
+++ b/src/membership/internal/instance_registration.cc
@@ -31,7 +31,8 @@
 }
 
 void InstanceRegistration::Start() {
-  Spawn(io_, [this](const Yield& yield) { Loop(yield); });
+  SpawnService(io_, "register_instance",
+               [this](const Yield& yield) { Loop(yield); });
 }
 
 void InstanceRegistration::Unregister() {
--- a/src/store/internal/kubernetes_store.cc
+++ b/src/store/internal/kubernetes_store.cc
@@ -9,6 +9,7 @@
 #include "framework/http/url.h"
 #include "framework/metrics/metrics.h"
 #include "framework/settings/endpoint.h"
+#include "framework/wire/json_text.h"
 
 namespace redwing {
 
@@ -300,7 +301,7 @@
   call.endpoint = endpoint_;
   call.method = method;
   call.target = target;
-  call.body = body.is_null() ? "" : body.dump();
+  call.body = body.is_null() ? "" : JsonText(body);
   call.timeout = timeout_;
   const std::string method_name(StdView(http::to_string(method)));
   metrics_
