End a planned stop just before the grace time does, refuse what outlasts it

Requests that came late in the stop were taken and cut as well, among them such that may not be repeated.

Change: StopSchedule owns notice, drain and margin; EntrySettings names the grace time. In a stop, a request whose deadline lies beyond the end is refused (leaving, 503, not run) if the longest recent run of its route would not end in time. A refusal by a stopping peer is one before sending.

--- a/src/admin/internal/admin_module.cc
+++ b/src/admin/internal/admin_module.cc
@@ -35,9 +35,9 @@
                 settings_.fleet_secret));
   server_ = std::make_unique<HttpServer>(kernel.io(), *sockets, *metrics,
                                          *handler_, HttpServerLimits());
-  graceful_stop_ =
-      std::make_unique<GracefulStop>(kernel.io(), Milliseconds(0), kDrainLimit,
-                                     [&kernel]() { kernel.Stop(); });
+  graceful_stop_ = std::make_unique<GracefulStop>(
+      kernel.io(), StopSchedule::WithDrain(Milliseconds(0), kDrainLimit),
+      [&kernel]() { kernel.Stop(); });
   graceful_stop_->AddServer(*server_);
 }
 
--- a/src/delivery/internal/delivery_module.cc
+++ b/src/delivery/internal/delivery_module.cc
@@ -4,6 +4,7 @@
 #include "config/freshness.h"
 #include "config/steering_config.h"
 #include "delivery/internal/request_carrier.h"
+#include "framework/http/graceful_stop.h"
 #include "framework/http/socket_registry.h"
 #include "framework/kernel/kernel.h"
 #include "framework/metrics/metrics.h"
@@ -44,6 +45,8 @@
   const std::shared_ptr<RequestCarrier> carrier = carrier_;
   kernel.Find<EntryLookup>()->SetEpochSource(
       [carrier]() { return carrier->key_epoch(); });
+  const std::shared_ptr<GracefulStop> stop = kernel.Find<GracefulStop>();
+  carrier_->SetStopSource([stop]() { return stop->end_time(); });
 }
 
 void DeliveryModule::Start() {
--- a/src/delivery/internal/request_carrier.cc
+++ b/src/delivery/internal/request_carrier.cc
@@ -15,6 +15,7 @@
 #include "framework/metrics/metrics.h"
 #include "keys/key_ring.h"
 #include "membership/membership.h"
+#include "routing/target_router.h"
 
 namespace redwing {
 
@@ -27,6 +28,9 @@
 constexpr Milliseconds kShedRetryAfter{200};
 // Lower bound of the Retry-After of a request that reached no target.
 constexpr Milliseconds kUnreachableRetryAfter{500};
+// Retry-After of a request that this instance, which stops, would not finish;
+// others can at once.
+constexpr Milliseconds kStopRetryAfter{50};
 // Log lines on shed requests: rate per second and burst. The metric counts all
 // of them.
 constexpr double kShedLogLinesPerSecond = 20;
@@ -68,6 +72,11 @@
       lag_timer_(io, kLagInterval, [this]() { MeasureLag(); }),
       random_(std::random_device{}()) {}
 
+void RequestCarrier::SetStopSource(
+    std::function<std::optional<TimePoint>()> stop_time) {
+  stop_time_ = std::move(stop_time);
+}
+
 void RequestCarrier::Start() {
   sender_.Start();
   lag_measured_at_ = Clock::now();
@@ -125,6 +134,27 @@
   }
 }
 
+Result<void> RequestCarrier::CheckEndsBeforeStop(
+    const RequestContext& context) const {
+  const std::optional<TimePoint> stop_time =
+      stop_time_ ? stop_time_() : std::nullopt;
+  if (!stop_time) {
+    return boost::outcome_v2::success();
+  }
+  const TimePoint now = Clock::now();
+  const Milliseconds run =
+      std::max(longest_runs_.Longest(context.route->name, now),
+               services_.router->TypicalRunTime(context.service->name));
+  // No request is held past its deadline.
+  const TimePoint end = std::min<TimePoint>(now + run, context.deadline);
+  if (end < *stop_time) {
+    return boost::outcome_v2::success();
+  }
+  return NotRun(Errc::kLeaving,
+                "the instance stops before the request may have ended",
+                kStopRetryAfter);
+}
+
 bool RequestCarrier::Shed(HttpExchange& exchange, const Yield& yield) {
   const double shed_fraction = shedder_.shed_fraction();
   std::uniform_real_distribution<double> uniform;
@@ -185,6 +215,11 @@
   retry_budget_.CountRequest(context.service->name, context.forwarded(),
                              services_.membership->members().size() + 1);
   Delivery delivery(context, body, exchange);
+  const Result<void> ends = CheckEndsBeforeStop(context);
+  if (!ends) {
+    LogOutcome(delivery, &ends.error());
+    return ends.error();
+  }
   if (keyed) {
     const Result<void> result = keyed_.Handle(delivery, yield);
     LogOutcome(delivery, result ? nullptr : &result.error());
@@ -321,6 +356,7 @@
       .Record(std::chrono::duration_cast<Milliseconds>(Clock::now() -
                                                        context.begun));
   if (failure == nullptr) {
+    longest_runs_.Record(context.route->name, context.age(), Clock::now());
     metrics_
         .Get("redwing_carried_total", "Requests carried, in requests",
              {{"service", context.service->name}})
--- a/src/delivery/internal/request_carrier.h
+++ b/src/delivery/internal/request_carrier.h
@@ -2,6 +2,8 @@
 #define REDWING_DELIVERY_INTERNAL_REQUEST_CARRIER_H_
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -11,6 +13,7 @@
 #include "delivery/internal/hop_token.h"
 #include "delivery/internal/keyed_requests.h"
 #include "delivery/internal/lag_shedder.h"
+#include "delivery/internal/longest_runs.h"
 #include "delivery/internal/placement_sequence.h"
 #include "delivery/internal/request_admitter.h"
 #include "delivery/internal/request_trail.h"
@@ -37,6 +40,9 @@
                  std::vector<std::string> secrets,
                  DeliveryOptions options);
 
+  // Sets the source of the time at which a stop cuts running requests;
+  // std::nullopt while none has begun.
+  void SetStopSource(std::function<std::optional<TimePoint>()> stop_time);
   void Start();
   void Stop();
 
@@ -56,6 +62,9 @@
   // Rejects a caller's request, before reading its body, if the processor is
   // overloaded. Returns whether the request was rejected.
   bool Shed(HttpExchange& exchange, const Yield& yield);
+  // Fails with kLeaving if a stop has begun and the request may not have ended
+  // when it cuts running requests.
+  Result<void> CheckEndsBeforeStop(const RequestContext& context) const;
   void MeasureLag();
   // Sends the request to one candidate after another until one responds or no
   // further attempt is allowed.
@@ -80,6 +89,8 @@
   PlacementSequence placements_;
   KeyedRequests keyed_;
   RetryBudget retry_budget_;
+  LongestRuns longest_runs_;
+  std::function<std::optional<TimePoint>()> stop_time_;
   LagShedder shedder_;
   // Time at which the event loop's lag was last measured.
   TimePoint lag_measured_at_;
--- a/src/delivery/internal/retry_rules.cc
+++ b/src/delivery/internal/retry_rules.cc
@@ -6,13 +6,13 @@
 namespace redwing {
 
 namespace {
-constexpr std::array<Errc, 7> kRefusedBeforeSending = {
-    Errc::kNoTarget,         Errc::kQueueFull, Errc::kTargetBackoff,
-    Errc::kRegionFull,       Errc::kLinkFull,  Errc::kPeerUnreachable,
-    Errc::kTargetUnreachable};
-constexpr std::array<Errc, 6> kWorthRetry = {
-    Errc::kTargetShed,    Errc::kTargetMoved, Errc::kTargetBroken,
-    Errc::kTargetTimeout, Errc::kNotReady,    Errc::kLeaving};
+constexpr std::array<Errc, 8> kRefusedBeforeSending = {
+    Errc::kNoTarget,          Errc::kQueueFull, Errc::kTargetBackoff,
+    Errc::kRegionFull,        Errc::kLinkFull,  Errc::kPeerUnreachable,
+    Errc::kTargetUnreachable, Errc::kLeaving};
+constexpr std::array<Errc, 5> kWorthRetry = {
+    Errc::kTargetShed, Errc::kTargetMoved, Errc::kTargetBroken,
+    Errc::kTargetTimeout, Errc::kNotReady};
 
 template <size_t kSize>
 bool Contains(const std::array<Errc, kSize>& list, Errc errc) {
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "framework/errors/result.h"
+#include "framework/http/stop_schedule.h"
 #include "framework/kernel/clock.h"
 
 namespace redwing {
@@ -41,8 +42,13 @@
   Milliseconds header_timeout{0};
   Milliseconds io_timeout{0};
   Milliseconds drain_limit{0};
+  // Time from the beginning of a stop until the platform kills the process; it
+  // then takes the place of drain_limit. 0 if the platform names none.
+  Milliseconds grace{0};
   size_t max_connections = 0;
 
+  StopSchedule stop_schedule() const;
+
   // Reads a settings file. The failure's detail lists every problem.
   static Result<EntrySettings> Load(const std::string& path);
   static Result<EntrySettings> Parse(std::string_view text,
--- a/src/entry/internal/entry_module.cc
+++ b/src/entry/internal/entry_module.cc
@@ -28,9 +28,6 @@
 namespace redwing {
 
 namespace {
-// A caller may have got its answer just before this instance left the
-// answers of its peers.
-constexpr Milliseconds kNoticeMargin{500};
 // How often all counters go to the log, for those who have nothing else.
 constexpr Milliseconds kCountersInterval{10'000};
 }  // namespace
@@ -68,8 +65,7 @@
       std::make_unique<HttpServer>(kernel.io(), *kernel.Find<SocketRegistry>(),
                                    *kernel.Find<Metrics>(), *handler_, limits);
   graceful_stop_ = std::make_shared<GracefulStop>(
-      kernel.io(), settings_.lookup_ttl + kNoticeMargin, settings_.drain_limit,
-      [&kernel]() { kernel.Stop(); });
+      kernel.io(), settings_.stop_schedule(), [&kernel]() { kernel.Stop(); });
   graceful_stop_->AddServer(*server_);
   kernel.Register<GracefulStop>(graceful_stop_);
 }
--- a/src/entry/internal/entry_settings.cc
+++ b/src/entry/internal/entry_settings.cc
@@ -9,6 +9,10 @@
 
 namespace {
 
+// A caller may have got its look-up answer just before this instance left the
+// answers of its peers.
+constexpr Milliseconds kNoticeMargin{500};
+
 constexpr size_t kMinSecretLength = 16;
 constexpr int64_t kMaxMs = 3'600'000;
 
@@ -113,6 +117,12 @@
 
 }  // namespace
 
+StopSchedule EntrySettings::stop_schedule() const {
+  const Milliseconds notice = lookup_ttl + kNoticeMargin;
+  return grace > Milliseconds(0) ? StopSchedule::Within(grace, notice)
+                                 : StopSchedule::WithDrain(notice, drain_limit);
+}
+
 Result<EntrySettings> EntrySettings::Load(const std::string& path) {
   return Check(JsonSource::Load(path));
 }
--- a/src/framework/http/graceful_stop.h
+++ b/src/framework/http/graceful_stop.h
@@ -2,25 +2,27 @@
 #define REDWING_FRAMEWORK_HTTP_GRACEFUL_STOP_H_
 
 #include <functional>
+#include <optional>
 #include <string_view>
 #include <vector>
 
+#include "framework/http/stop_schedule.h"
 #include "framework/kernel/periodic_task.h"
 
 namespace redwing {
 
 class HttpServer;
 
-// Ends servers without cutting a request: goes on serving for a notice time,
-// in which each answer closes its connection so that callers move on, then
-// closes idle connections and waits for running requests, at most for a limit.
+// Ends servers without cutting a request: goes on serving for the notice of its
+// schedule, in which each answer closes its connection so that callers move on,
+// then closes idle connections and waits for running requests until the
+// schedule ends.
 class GracefulStop {
  public:
   static constexpr std::string_view kServiceName = "graceful_stop";
 
   GracefulStop(boost::asio::io_context& io,
-               Milliseconds notice,
-               Milliseconds limit,
+               const StopSchedule& schedule,
                std::function<void()> on_done);
 
   // Adds a server, which must live as long as this does.
@@ -30,6 +32,10 @@
   void Begin();
   void Cancel();
 
+  // Returns when running requests will be cut; std::nullopt if no stop has
+  // begun.
+  std::optional<TimePoint> end_time() const;
+
  private:
   void Tick();
 
@@ -37,8 +43,7 @@
   size_t ConnectionCount() const;
 
   std::vector<HttpServer*> servers_;
-  Milliseconds notice_;
-  Milliseconds limit_;
+  StopSchedule schedule_;
   std::function<void()> on_done_;
   bool begun_ = false;
   bool draining_ = false;
--- a/src/framework/http/internal/graceful_stop.cc
+++ b/src/framework/http/internal/graceful_stop.cc
@@ -12,11 +12,9 @@
 }  // namespace
 
 GracefulStop::GracefulStop(boost::asio::io_context& io,
-                           Milliseconds notice,
-                           Milliseconds limit,
+                           const StopSchedule& schedule,
                            std::function<void()> on_done)
-    : notice_(notice),
-      limit_(limit),
+    : schedule_(schedule),
       on_done_(std::move(on_done)),
       tick_(io, kTickInterval, [this]() { Tick(); }) {}
 
@@ -26,7 +24,9 @@
   }
   begun_ = true;
   begun_at_ = Clock::now();
-  spdlog::info("event=shutdown_begins running={}", BusyCount());
+  spdlog::info("event=shutdown_begins running={} notice_ms={} end_ms={}",
+               BusyCount(), schedule_.notice().count(),
+               schedule_.end().count());
   for (HttpServer* const server : servers_) {
     server->GiveNotice();
   }
@@ -37,6 +37,11 @@
   tick_.Stop();
 }
 
+std::optional<TimePoint> GracefulStop::end_time() const {
+  return begun_ ? std::optional<TimePoint>(begun_at_ + schedule_.end())
+                : std::nullopt;
+}
+
 size_t GracefulStop::BusyCount() const {
   return std::accumulate(servers_.begin(), servers_.end(), size_t{0},
                          [](size_t sum, const HttpServer* server) {
@@ -53,7 +58,7 @@
 
 void GracefulStop::Tick() {
   const Clock::duration elapsed = Clock::now() - begun_at_;
-  if (elapsed < notice_) {
+  if (elapsed < schedule_.notice()) {
     return;
   }
   if (!draining_) {
@@ -62,7 +67,7 @@
       server->BeginDrain();
     }
   }
-  const bool over = elapsed - notice_ > limit_;
+  const bool over = elapsed > schedule_.end();
   if (ConnectionCount() > 0 && !over) {
     return;
   }
--- a/testing/platform_stand_in/target_stand_in.cc
+++ b/testing/platform_stand_in/target_stand_in.cc
@@ -19,6 +19,13 @@
 
 // From then on what a target has said of itself must have been heard.
 constexpr Milliseconds kHeardAfter{500};
+
+// Targets accept any head that an operator may allow.
+HttpServerLimits Limits() {
+  HttpServerLimits limits;
+  limits.header_bytes = 1024 * 1024;
+  return limits;
+}
 }  // namespace
 
 TargetStandIn::TargetStandIn(boost::asio::io_context& io,
@@ -28,7 +35,7 @@
       id_(std::move(id)),
       slots_(slots),
       sockets_(io),
-      server_(io, sockets_, metrics_, *this, HttpServerLimits()) {}
+      server_(io, sockets_, metrics_, *this, Limits()) {}
 
 std::string TargetStandIn::Listen(const std::string& ip) {
   server_.Listen(TcpEndpoint(ip + ":0"));
