Handle signals from the start, and wait for an address in use (FAULT)

What was seen: SIGHUP ended a process for as long as it waited for the fleet's secret, SIGTERM then ended it by the signal; a second SIGTERM in a planned stop cut all requests; an address that the former process still had ended the new one.

Cause: handlers were installed after the modules, the first of which waits for the store; a second signal was taken for an operator's; bind() failed at once.

Change: daemons hold SIGTERM and SIGINT and ignore SIGHUP from main() on. While the secret is awaited, both end the process with 0. A further SIGTERM changes nothing, a further SIGINT still ends it at once. A start waits for an address in use for up to 3 s.

--- a/apps/daemon.h
+++ b/apps/daemon.h
@@ -7,6 +7,7 @@
 
 #include "apps/program_options.h"
 #include "framework/errors/result.h"
+#include "framework/kernel/held_signals.h"
 #include "framework/kernel/kernel.h"
 #include "framework/kernel/process_signals.h"
 #include "framework/log/log.h"
@@ -22,6 +23,7 @@
               char** argv,
               std::string (*name)(const Settings&),
               void (*add_modules)(Kernel&, const Settings&)) {
+  HoldSignals();
   CLI::App app(description);
   AddCommonOptions(app);
   std::string path;
--- a/src/framework/http/http_server.h
+++ b/src/framework/http/http_server.h
@@ -42,8 +42,9 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
-  // Binds and begins to accept. Throws boost::system::system_error when the
-  // address cannot be bound.
+  // Binds and begins to accept. Waits up to kBindLimit for an address that is
+  // in use. Throws boost::system::system_error when the address cannot be
+  // bound.
   void Listen(const boost::asio::ip::tcp::endpoint& endpoint);
   boost::asio::ip::tcp::endpoint local_endpoint() const;
 
--- a/src/framework/http/internal/http_server.cc
+++ b/src/framework/http/internal/http_server.cc
@@ -5,8 +5,10 @@
 #include <vector>
 
 #include "framework/http/internal/http_session.h"
+#include "framework/kernel/bind.h"
 #include "framework/kernel/spawn.h"
 #include "framework/metrics/metrics.h"
+#include "framework/settings/endpoint.h"
 
 namespace redwing {
 
@@ -32,7 +34,10 @@
   tcp::acceptor& socket = acceptor_.socket();
   socket.open(endpoint.protocol());
   socket.set_option(tcp::acceptor::reuse_address(true));
-  socket.bind(endpoint);
+  const boost::system::error_code ec = Bind(socket, endpoint, kBindLimit);
+  if (ec) {
+    throw boost::system::system_error(ec, FormatEndpoint(endpoint));
+  }
   socket.listen();
   acceptor_.Start();
 }
--- a/src/framework/http/tests/http_server_test.cc
+++ b/src/framework/http/tests/http_server_test.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
+#include <thread>
 #include <vector>
 
 #include "framework/http/http_handler.h"
@@ -44,5 +45,24 @@
   }
 }
 
+// Guards against a start that fails since the former process has not ended yet.
+TEST_CASE("a server waits for an address that is still in use") {
+  boost::asio::io_context io;
+  SocketRegistry sockets(io);
+  Metrics metrics;
+  NoHandler handler;
+  tcp::acceptor former(
+      io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  const tcp::endpoint address = former.local_endpoint();
+  std::thread ending([&former]() {
+    std::this_thread::sleep_for(Milliseconds(200));
+    former.close();
+  });
+  HttpServer server(io, sockets, metrics, handler, HttpServerLimits());
+  CHECK_NOTHROW(server.Listen(address));
+  ending.join();
+  CHECK(server.local_endpoint() == address);
+}
+
 }  // namespace
 }  // namespace redwing
--- a/src/framework/kernel/internal/process_signals.cc
+++ b/src/framework/kernel/internal/process_signals.cc
@@ -2,6 +2,7 @@
 
 #include <csignal>
 
+#include "framework/kernel/held_signals.h"
 #include "framework/kernel/kernel.h"
 #include "framework/log/log.h"
 
@@ -10,6 +11,7 @@
 ProcessSignals::ProcessSignals(Kernel& kernel)
     : kernel_(kernel), signals_(kernel.io(), SIGTERM, SIGINT, SIGHUP) {
   Wait();
+  ReleaseSignals();
 }
 
 void ProcessSignals::Wait() {
@@ -23,10 +25,15 @@
       Wait();
       return;
     }
-    if (draining_) {
+    if (draining_ && signal == SIGINT) {
       kernel_.Stop();
       return;
     }
+    if (draining_) {
+      spdlog::info("event=stop_requested outcome=already_stopping");
+      Wait();
+      return;
+    }
     draining_ = true;
     Wait();
     kernel_.BeginDrain();
--- a/src/framework/kernel/process_signals.h
+++ b/src/framework/kernel/process_signals.h
@@ -7,8 +7,9 @@
 
 class Kernel;
 
-// Turns the first SIGTERM or SIGINT into a graceful shutdown and the second
-// into an immediate stop. SIGHUP changes nothing.
+// Turns the first SIGTERM or SIGINT into a graceful shutdown. During it, a
+// further SIGINT stops the process immediately, and a further SIGTERM changes
+// nothing. SIGHUP never changes anything. Releases held signals.
 class ProcessSignals {
  public:
   explicit ProcessSignals(Kernel& kernel);
--- a/src/framework/peer/internal/socket_peer_transport.cc
+++ b/src/framework/peer/internal/socket_peer_transport.cc
@@ -6,6 +6,7 @@
 
 #include "framework/http/socket_registry.h"
 #include "framework/http/timed_socket.h"
+#include "framework/kernel/bind.h"
 #include "framework/kernel/guard.h"
 #include "framework/kernel/spawn.h"
 #include "framework/metrics/metrics.h"
@@ -101,14 +102,18 @@
   socket_.open(endpoint.protocol());
   socket_.set_option(
       boost::asio::socket_base::receive_buffer_size(kReceiveBuffer));
-  socket_.bind(endpoint);
+  const Milliseconds limit =
+      endpoint.port() == 0 ? Milliseconds(0) : kBindLimit;
+  boost::system::error_code ec = Bind(socket_, endpoint, limit);
+  if (ec) {
+    throw boost::system::system_error(ec, "peer address");
+  }
   socket_.non_blocking(true);
   const tcp::endpoint tcp_endpoint(endpoint.address(),
                                    socket_.local_endpoint().port());
   acceptor_.socket().open(tcp_endpoint.protocol());
   acceptor_.socket().set_option(tcp::acceptor::reuse_address(true));
-  boost::system::error_code ec;
-  acceptor_.socket().bind(tcp_endpoint, ec);
+  ec = Bind(acceptor_.socket(), tcp_endpoint, limit);
   if (!ec) {
     acceptor_.socket().listen(boost::asio::socket_base::max_listen_connections,
                               ec);
