--- a/src/framework/http/tests/unbounded_message_test.cc
+++ b/src/framework/http/tests/unbounded_message_test.cc
@@ -95,8 +95,9 @@
     RequestHeader header;
     header.method(http::verb::get);
     header.target("/");
-    REQUIRE(
-        connection.BeginRequest(std::move(header), nullptr, 0, true, yield));
+    const Result<void> sent =
+        connection.BeginRequest(std::move(header), nullptr, 0, true, yield);
+    REQUIRE(sent);
     const Result<void> head_read = connection.ReadHeader(yield);
     if (!head_read) {
       failure = head_read.error();
--- a/testing/integration/faulty_target_test_fleet.cc
+++ b/testing/integration/faulty_target_test_fleet.cc
@@ -222,6 +222,11 @@
                   fmt::format(fmt::runtime(entry), "127.0.0.1:80", "1e999")),
       fmt::format(fmt::runtime(item),
                   fmt::format(fmt::runtime(entry), "127.0.0.1:99999", "4")),
+      fmt::format(fmt::runtime(item), "\"\xfe\xff\xc3\x28\""),
+      fmt::format(fmt::runtime(item),
+                  R"({"service":"redwing-entry","address":"127.0.0.1:80",)"
+                  R"("zone":"zone-0","version":"v1","slots":4,)"
+                  R"("state":"ready","warmup_time":"0ms","seq":1})"),
       std::string(R"({"metadata":{"name":"odd"},"spec":{}})"),
       std::string(R"({"spec":7})"), std::string("[]"));
   CAPTURE(odd.substr(0, 200));
