Fuzz the reading of the store's lists

The mutated input of the platform's parsers also passes ParseStoreList, with a list in the corpus that has brackets in its strings.

--- a/testing/fuzz/fuzz.cc
+++ b/testing/fuzz/fuzz.cc
@@ -31,6 +31,7 @@
 #include "membership/instance_record.h"
 #include "platform/manifest_decoder.h"
 #include "platform/node_settings.h"
+#include "platform/store_json.h"
 #include "platform/target_decoder.h"
 #include "routing/key_prefix.h"
 #include "routing/target_load.h"
@@ -149,6 +150,7 @@
   TargetLoad::Parse(text);
   const nlohmann::json value =
       nlohmann::json::parse(text, nullptr, /*allow_exceptions=*/false);
+  (void)platform::ParseStoreList(text, "items");
   (void)platform::DecodeTarget("i-1", value, zones);
   (void)DecodeInstanceRecord({"", "i-1", "1", value});
   const Result<std::vector<StateEntry>> entries =
@@ -223,6 +225,9 @@
               [{"service": "s", "weight": 9}]]]},
             "tenants": {"columns": ["name", "apiKeys"],
              "rows": [["t", ["k"]]]}})",
+        R"({"items": [{"metadata": {"name": "a, ]}", "revision": 4},
+            "spec": "\"}"}, [], {"spec": [1, 2e3]}], "hasMore": true,
+            "asOf": 9})",
         "3,0,8"}},
   };
 }
