--- a/testing/fuzz/fuzz.cc
+++ b/testing/fuzz/fuzz.cc
@@ -209,9 +209,15 @@
             {"a", 1, 2, MessageKind::kHeartbeat, "p"}),
         HopSigner({kSecret}).Sign(HopToken())}},
       {&FuzzPlatform,
-       {"self.node=n\nself.zone=z\nself.region=r\nself.ip=127.0.0.1\n"
-        "network.zones.z=r\nnetwork.portRange=1,9\n"
-        "terms.bounds.grace=6s\nterms.bounds.contact=1500ms\n",
+       {R"(self.node=n
+self.zone=z
+self.region=r
+self.ip=127.0.0.1
+network.zones.z=r
+network.portRange=1,9
+terms.bounds.grace=6s
+terms.bounds.contact=1500ms
+)",
         R"({"service": "s", "address": "127.0.0.1:1", "zone": "z",
             "version": "v1", "slots": 3, "state": "ready",
             "warmup_time": "2.5s", "seq": 4, "born": 1700000000000})",
