Refuse a field that cannot be stored without reporting a fault

A caller can send such a field where the operator allows long heads; that is no fault of the program, so it gets its refusal and one line of log, not an uncaught exception in the count.

--- a/src/framework/http/internal/http_session.cc
+++ b/src/framework/http/internal/http_session.cc
@@ -1,6 +1,7 @@
 #include "framework/http/internal/http_session.h"
 
 #include <algorithm>
+#include <stdexcept>
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
@@ -9,6 +10,7 @@
 #include "framework/http/http_server.h"
 #include "framework/http/refusal.h"
 #include "framework/kernel/guard.h"
+#include "framework/log/log.h"
 #include "framework/metrics/metrics.h"
 
 namespace redwing {
@@ -113,12 +115,15 @@
   parser.header_limit(server_.limits_.header_bytes);
   parser.body_limit(server_.limits_.body_bytes);
   boost::system::error_code ec;
-  // Beast throws for a field that is longer than it can store.
-  const bool parsed = RunGuarded("parse_head", [&]() {
+  try {
     buffer_.consume(parser.put(
         boost::asio::buffer(buffer_.data().data(), head.value()), ec));
-  });
-  if (!parsed) {
+  } catch (const std::length_error& error) {
+    // Beast cannot store a field of this length.
+    ec = http::error::header_limit;
+    spdlog::info("event=head_refused reason={}", Quoted(error.what()));
+  }
+  if (ec == http::error::header_limit) {
     Refuse(NotRun(Errc::kHeaderTooLarge, "a header field is too large"), yield);
     return false;
   }
