--- a/testing/integration/planned_stop_test_fleet.cc
+++ b/testing/integration/planned_stop_test_fleet.cc
@@ -115,7 +115,6 @@
   const TimePoint signalled = Clock::now();
   fleet.instance(0).Signal(SIGTERM);
   CheckAnswered(SendSome(fleet, "early"));
-  // A connection that was accepted in time can bring its request later.
   REQUIRE(fleet.instance(0).Wait(kGrace) == 0);
   CHECK(Clock::now() - signalled < kGrace);
 
--- a/testing/integration/store_restore_test_fleet.cc
+++ b/testing/integration/store_restore_test_fleet.cc
@@ -110,7 +110,7 @@
   REQUIRE(fleet.AwaitReady(kStartLimit));
   const json with_both = ManifestWithKeys(10, {"key-one", "key-added"});
   AddKeyAfterCopy(fleet, with_both);
-  // Twice: the second restore begins before the first era is far.
+  // The second round restores the same copy again.
   for (int round = 0; round < 2; ++round) {
     CAPTURE(round);
     RestoreWithoutKey(fleet, with_both);
