--- a/testing/integration/planned_stop_test_fleet.cc
+++ b/testing/integration/planned_stop_test_fleet.cc
@@ -67,6 +67,7 @@
     const std::string& prefix) {
   constexpr int kRequests = 4;
   std::vector<std::future<Result<HttpReply>>> replies;
+  replies.reserve(kRequests);
   for (int i = 0; i < kRequests; ++i) {
     replies.push_back(std::async(std::launch::async, [&fleet, prefix, i]() {
       return SendLong(fleet, 0, fmt::format("{}-{}", prefix, i),
