Open the proxy's link elsewhere when a port is taken for connections

Cause: the proxy replaced a link only when its port was taken for datagrams. A port taken for connections, by another process, was an uncaught error.

Change: AddConnectionLink takes another port then, as AddDatagramLink does.

--- a/testing/fault_proxy/fault_proxy.cc
+++ b/testing/fault_proxy/fault_proxy.cc
@@ -122,8 +122,7 @@
                                     UdpEndpoint(to));
     listen.port(udp->local_endpoint().port());
   } else {
-    tcp = std::make_unique<TcpLink>(*this, listen, TcpEndpoint(to));
-    listen.port(tcp->local_endpoint().port());
+    tcp = AddConnectionLink(&listen, to);
   }
   if (protocol == "both") {
     udp = AddDatagramLink(&listen, &tcp, to);
@@ -133,6 +132,23 @@
   return {{"link", tcp_links_.size() - 1}, {"listen", FormatEndpoint(listen)}};
 }
 
+std::unique_ptr<TcpLink> FaultProxy::AddConnectionLink(
+    boost::asio::ip::tcp::endpoint* listen,
+    const std::string& to) {
+  std::unique_ptr<TcpLink> link;
+  try {
+    link = std::make_unique<TcpLink>(*this, *listen, TcpEndpoint(to));
+  } catch (const boost::system::system_error& error) {
+    if (error.code() != boost::asio::error::address_in_use) {
+      throw;
+    }
+    listen->port(0);
+    link = std::make_unique<TcpLink>(*this, *listen, TcpEndpoint(to));
+  }
+  listen->port(link->local_endpoint().port());
+  return link;
+}
+
 std::unique_ptr<UdpLink> FaultProxy::AddDatagramLink(
     boost::asio::ip::tcp::endpoint* listen,
     std::unique_ptr<TcpLink>* tcp,
@@ -152,8 +168,7 @@
     // ended.
     unused_links_.push_back(std::move(*tcp));
     listen->port(0);
-    *tcp = std::make_unique<TcpLink>(*this, *listen, TcpEndpoint(to));
-    listen->port((*tcp)->local_endpoint().port());
+    *tcp = AddConnectionLink(listen, to);
   }
 }
 
--- a/testing/fault_proxy/fault_proxy.h
+++ b/testing/fault_proxy/fault_proxy.h
@@ -81,6 +81,11 @@
   // Opens a TCP link, a UDP link, or both with the same port number. Where it
   // leads can be set later, by its number.
   nlohmann::json AddLink(const nlohmann::json& body);
+  // Opens a TCP link, on another port if `listen` has one that is taken, and
+  // sets `listen` to its port. Throws for every other error.
+  std::unique_ptr<TcpLink> AddConnectionLink(
+      boost::asio::ip::tcp::endpoint* listen,
+      const std::string& to);
   // Opens the UDP link beside a TCP link, on the same port; replaces the TCP
   // link while its port is taken.
   std::unique_ptr<UdpLink> AddDatagramLink(
--- a/testing/integration/link_test_fleet.cc
+++ b/testing/integration/link_test_fleet.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <catch2/catch.hpp>
 #include <filesystem>
@@ -129,24 +130,41 @@
   CHECK(report.at("joined").at("false_not_run") == 0);
 }
 
-TEST_CASE("the proxy opens a link whose port is taken for datagrams") {
+// Asks a proxy for a link on the port; gives the address it listens at.
+std::string OpenLink(const std::string& protocol, unsigned short port) {
   const std::string path = (std::filesystem::temp_directory_path() /
                             fmt::format("redwing-proxy-{}.json", getpid()))
                                .string();
   std::ofstream(path) << R"({"listen": "127.0.0.1:0", "seed": 1})";
   Process proxy("fault-proxy", {"--settings", path}, path + ".log");
   const std::string address = proxy.ReadAnnouncement().at("http");
+  const json answer = CallJson(
+      http::verb::post, address, "/_control/link",
+      {{"protocol", protocol}, {"listen", fmt::format("127.0.0.1:{}", port)}});
+  std::filesystem::remove(path);
+  std::filesystem::remove(path + ".log");
+  return answer.at("listen");
+}
+
+TEST_CASE("the proxy opens a link whose port is taken for datagrams") {
   boost::asio::io_context io;
   using boost::asio::ip::udp;
   const udp::socket taken(
       io, udp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-  const std::string listen =
-      fmt::format("127.0.0.1:{}", taken.local_endpoint().port());
-  const json answer = CallJson(http::verb::post, address, "/_control/link",
-                               {{"protocol", "both"}, {"listen", listen}});
-  CHECK(answer.at("listen") != listen);
-  std::filesystem::remove(path);
-  std::filesystem::remove(path + ".log");
+  const unsigned short port = taken.local_endpoint().port();
+  CHECK(OpenLink("both", port) != fmt::format("127.0.0.1:{}", port));
+}
+
+// Guards against a proxy that answers 500 while another process has the port.
+TEST_CASE("the proxy opens a link whose port is taken for connections") {
+  boost::asio::io_context io;
+  using boost::asio::ip::tcp;
+  const tcp::acceptor taken(
+      io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  const unsigned short port = taken.local_endpoint().port();
+  const std::string protocol = GENERATE("tcp", "both");
+  CAPTURE(protocol);
+  CHECK(OpenLink(protocol, port) != fmt::format("127.0.0.1:{}", port));
 }
 
 }  // namespace
