--- a/src/config/internal/listing_codec.cc
+++ b/src/config/internal/listing_codec.cc
@@ -1,8 +1,9 @@
 #include "config/listing_codec.h"
-#include "framework/wire/json_text.h"
 
 #include <nlohmann/json.hpp>
 
+#include "framework/wire/json_text.h"
+
 namespace redwing {
 
 namespace {
