Leave out the refused parts of a manifest alone (CONFIG)

Cause: a section was refused as a whole for one invalid part, by limits that the platform's pages do not set; in the decoder one row refused the manifest.

Editors' sections are checked as a whole as before. A log line and a gauge name the parts.

--- a/src/config/internal/config_module.cc
+++ b/src/config/internal/config_module.cc
@@ -25,7 +25,7 @@
   const std::shared_ptr<Metrics> metrics = kernel.Find<Metrics>();
   const std::shared_ptr<KeyRing> keys = std::make_shared<KeyRing>();
   state_ = std::make_shared<ReplicatedState>(*metrics);
-  config_ = std::make_shared<DocumentConfig>(state_, keys);
+  config_ = std::make_shared<DocumentConfig>(*metrics, state_, keys);
   if (options_.origin == StateOrigin::kStateObjects) {
     watcher_ = std::make_shared<StoreWatcher>(kernel.io(), state_, keys,
                                               kernel.Find<Identity>());
--- a/src/config/internal/document_config.cc
+++ b/src/config/internal/document_config.cc
@@ -5,23 +5,29 @@
 #include "config/key_shard.h"
 #include "config/listing_codec.h"
 #include "framework/log/log.h"
+#include "framework/metrics/metrics.h"
 #include "keys/key_ring.h"
 #include "membership/membership.h"
-#include "steering/section_parser.h"
+#include "steering/usable_section.h"
 
 namespace redwing {
 
 namespace {
 
+// Log lines on one version of a section.
+constexpr size_t kLoggedProblems = 10;
+
 bool HasPrefix(const std::string& name, std::string_view prefix) {
   return name.compare(0, prefix.size(), prefix) == 0;
 }
 
 }  // namespace
 
-DocumentConfig::DocumentConfig(std::shared_ptr<ReplicatedState> state,
+DocumentConfig::DocumentConfig(Metrics& metrics,
+                               std::shared_ptr<ReplicatedState> state,
                                std::shared_ptr<KeyRing> keys)
-    : state_(std::move(state)),
+    : metrics_(metrics),
+      state_(std::move(state)),
       keys_(std::move(keys)),
       operator_document_(
           std::make_shared<SteeringDocument>(std::vector<Section>())),
@@ -89,17 +95,34 @@
                                     operator_document_->WithTargets(targets));
 }
 
+void DocumentConfig::NoteProblems(const StateEntry& entry,
+                                  const std::vector<std::string>& problems) {
+  metrics_
+      .Gauge("redwing_section_parts_refused",
+             "Parts of a section in force that were left out, in parts",
+             {{"name", entry.name}})
+      .Set(static_cast<double>(problems.size()));
+  const size_t logged = std::min(problems.size(), kLoggedProblems);
+  for (size_t i = 0; i < logged; ++i) {
+    spdlog::error(
+        "event=section_part_refused name={} era={} revision={} reason={}",
+        entry.name, entry.version.era(), entry.version.revision(),
+        Quoted(problems[i]));
+  }
+}
+
 void DocumentConfig::ApplySection(const StateEntry& entry) {
-  Result<Section> section =
-      ParseSection(entry.name.substr(kSectionPrefix.size()), entry.body);
-  if (!section) {
+  Result<UsableSection> usable =
+      ParseUsableSection(entry.name.substr(kSectionPrefix.size()), entry.body);
+  if (!usable) {
     // The previous version of the section stays in force.
     spdlog::error("event=section_refused name={} era={} revision={} reason={}",
                   entry.name, entry.version.era(), entry.version.revision(),
-                  Quoted(section.error().detail));
+                  Quoted(usable.error().detail));
     return;
   }
-  sections_.insert_or_assign(entry.name, std::move(section.value()));
+  NoteProblems(entry, usable.value().problems);
+  sections_.insert_or_assign(entry.name, std::move(usable.value().section));
   std::vector<Section> sections;
   sections.reserve(sections_.size());
   newest_version_ = std::max(newest_version_, entry.version);
--- a/src/config/internal/document_config.h
+++ b/src/config/internal/document_config.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "config/replicated_state.h"
 #include "config/steering_config.h"
@@ -13,12 +14,14 @@
 
 class KeyRing;
 class Membership;
+class Metrics;
 
 // Builds the document, API keys, drains and listing in force from the entries
 // of the replicated state.
 class DocumentConfig : public SteeringConfig {
  public:
-  DocumentConfig(std::shared_ptr<ReplicatedState> state,
+  DocumentConfig(Metrics& metrics,
+                 std::shared_ptr<ReplicatedState> state,
                  std::shared_ptr<KeyRing> keys);
 
   void Attach(std::shared_ptr<Membership> membership);
@@ -37,10 +40,14 @@
   void ApplyKeys(const StateEntry& entry);
   void ApplyListing(const StateEntry& entry);
   void ApplySection(const StateEntry& entry);
+  // Logs and counts the parts of a section that are left out.
+  void NoteProblems(const StateEntry& entry,
+                    const std::vector<std::string>& problems);
   // Rebuilds document_ from operator_document_ and the targets that the
   // platform lists.
   void MergeTargets();
 
+  Metrics& metrics_;
   std::shared_ptr<ReplicatedState> state_;
   std::shared_ptr<KeyRing> keys_;
   std::shared_ptr<Membership> membership_;
--- a/src/steering/internal/section_parser.cc
+++ b/src/steering/internal/section_parser.cc
@@ -13,26 +13,31 @@
 
 constexpr double kMaxRate = 1e9;
 constexpr double kBytesPerMegabit = 1e6 / 8;
-constexpr int64_t kMaxBodyBytes = 64LL * 1024 * 1024;
-constexpr int64_t kMaxTimeoutMs = 600'000;
-constexpr size_t kMaxNameLength = 63;
-constexpr int64_t kMaxAttempts = 16;
-constexpr int64_t kLowestPriority = 1000;
+// Bodies are streamed, so that a long one takes no more memory.
+constexpr int64_t kMaxBodyBytes = 1LL << 40;
+constexpr int64_t kMaxTimeoutMs = 24LL * 60 * 60 * 1000;
+constexpr size_t kMaxNameLength = 253;
+constexpr int64_t kMaxAttempts = 1000;
+constexpr int64_t kLowestPriority = INT32_MAX;
 constexpr int64_t kMinHeaderBytes = 256;
 constexpr int64_t kMaxHeaderBytes = 1024 * 1024;
 constexpr std::array<std::string_view, 6> kMethods = {"GET", "HEAD",   "POST",
                                                       "PUT", "DELETE", "PATCH"};
 
+bool IsNameCharacter(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.';
+}
+
+// Names are segments of paths, so none begins with a dot.
 std::string ReadName(ObjectReader& reader, std::string_view field) {
   std::string name = reader.String(field);
-  const bool valid =
-      name.size() <= kMaxNameLength &&
-      std::all_of(name.begin(), name.end(), [](char c) {
-        return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
-      });
+  const bool valid = name.size() <= kMaxNameLength &&
+                     name.substr(0, 1) != "." &&
+                     std::all_of(name.begin(), name.end(), IsNameCharacter);
   if (!valid) {
-    reader.Reject(field, fmt::format("expected at most {} of a-z, 0-9 and '-', "
-                                     "found \"{}\"",
+    reader.Reject(field, fmt::format("expected at most {} letters, digits, "
+                                     "'-', '_' and '.', found \"{}\"",
                                      kMaxNameLength, name));
   }
   return name;
@@ -142,7 +147,7 @@
       reader.Integer("header_bytes", kMinHeaderBytes, kMaxHeaderBytes,
                      static_cast<int64_t>(limits.header_bytes)));
   limits.body_bytes = static_cast<uint64_t>(reader.Integer(
-      "body_bytes", 0, INT32_MAX, static_cast<int64_t>(limits.body_bytes)));
+      "body_bytes", 0, kMaxBodyBytes, static_cast<int64_t>(limits.body_bytes)));
   limits.header_timeout = Milliseconds(reader.Integer(
       "header_timeout_ms", 1, kMaxTimeoutMs, limits.header_timeout.count()));
   limits.idle_timeout = Milliseconds(reader.Integer(
--- a/src/steering/tests/steering_document_test.cc
+++ b/src/steering/tests/steering_document_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "steering/section_parser.h"
+#include "steering/usable_section.h"
 
 namespace redwing {
 namespace {
@@ -144,5 +145,26 @@
   CHECK(joined.FindService("unknown") == nullptr);
 }
 
+TEST_CASE("invalid parts of a stored section are left out, not the others") {
+  const std::string body = R"({"team": "t", "caller_limits": {
+      "header_bytes": 1, "body_bytes": 5}, "links": 7, "workspaces": [
+      {"name": "a", "rate_per_s": 1, "burst": 1},
+      {"name": "b c", "rate_per_s": 1, "burst": 1},
+      {"name": "Acme_Foods.2", "rate_per_s": 2, "burst": 1}, 5]})";
+  CHECK_FALSE(ParseSection("s", body));
+  const Result<UsableSection> usable = ParseUsableSection("s", body);
+  REQUIRE(usable);
+  CHECK(usable.value().problems.size() == 4);
+  const Section& section = usable.value().section;
+  REQUIRE(section.workspaces.size() == 2);
+  CHECK(section.workspaces[1].name == "Acme_Foods.2");
+  REQUIRE(section.caller_limits);
+  CHECK(section.caller_limits->body_bytes == 5);
+  CHECK(section.caller_limits->header_bytes == CallerLimits().header_bytes);
+  CHECK_FALSE(ParseUsableSection("s", "[]"));
+  CHECK_FALSE(ParseUsableSection("s", R"({"workspaces": []})"));
+  CHECK_FALSE(ParseUsableSection("s", "{"));
+}
+
 }  // namespace
 }  // namespace redwing
--- a/testing/integration/platform_change_test_fleet.cc
+++ b/testing/integration/platform_change_test_fleet.cc
@@ -24,6 +24,10 @@
 // A change must be in force by then.
 constexpr Milliseconds kChangeLimit{2'000};
 // Columns of a route.
+constexpr size_t kName = 0;
+constexpr size_t kPath = 2;
+constexpr size_t kTargetLatency = 5;
+constexpr size_t kPriority = 6;
 constexpr size_t kSplit = 7;
 constexpr size_t kService = 12;
 // How far a part's share of the requests may be off its weight's.
@@ -127,6 +131,47 @@
   CHECK(answered >= (kFirstWeight - kSplitBound) * kSent);
 }
 
+// Guards against a route that is dropped and still served, since another part
+// of the manifest was refused.
+TEST_CASE("one part of a manifest that is refused holds up no other") {
+  PlatformStandIn fleet(kInstances);
+  REQUIRE(fleet.AwaitReady(kStartLimit));
+  CHECK(SendEach(fleet, kInstances, kInstances, "before")[200] == kInstances);
+  json changed = PlatformStandIn::Manifest(9);
+  changed["limits"]["maxBodyBytes"] = 100'000'000;
+  changed["tenants"]["rows"].push_back(
+      {"Acme_Foods", {"key-three"}, 0, 0, 0, json::array()});
+  changed["tenants"]["rows"].push_back(
+      {"no name", {"key-four"}, 0, 0, 0, json::array()});
+  json& routes = changed["routes"]["rows"];
+  json moved = routes[0];
+  moved[kName] = "r-moved";
+  moved[kPath] = "/moved/";
+  moved[kTargetLatency] = nullptr;
+  moved[kPriority] = 2000;
+  json unreadable = routes[0];
+  unreadable[kName] = "r-odd";
+  unreadable[kPath] = "odd";
+  routes[0] = moved;
+  routes.push_back(unreadable);
+  fleet.PutManifest(changed);
+  std::this_thread::sleep_for(kChangeLimit);
+  const auto status_of = [&](int instance, const std::string& path,
+                             const std::string& key) {
+    const Result<HttpReply> reply = fleet.Send(
+        instance, fmt::format("{}-{}", key, path), http::verb::get, path, key);
+    return reply ? reply.value().status : 0;
+  };
+  for (int i = 0; i < kInstances; ++i) {
+    CAPTURE(i);
+    CHECK(status_of(i, "/safe/1", "key-one") == 404);
+    CHECK(status_of(i, "/moved/1", "key-one") == 200);
+    CHECK(status_of(i, "/moved/1", "key-three") == 200);
+    CHECK(status_of(i, "/unsafe/1", "key-three") == 200);
+  }
+  CHECK(fleet.LogOf(0).find("event=section_part_refused") != std::string::npos);
+}
+
 TEST_CASE("a machine that froze acts on nothing that ended meanwhile") {
   PlatformStandIn fleet(kInstances);
   REQUIRE(fleet.AwaitReady(kStartLimit));
