--- a/src/steering/internal/section_parser.cc
+++ b/src/steering/internal/section_parser.cc
@@ -13,14 +13,10 @@
 
 constexpr double kMaxRate = 1e9;
 constexpr double kBytesPerMegabit = 1e6 / 8;
-// Bodies are streamed, so that a long one takes no more memory.
-constexpr int64_t kMaxBodyBytes = 1LL << 40;
 constexpr int64_t kMaxTimeoutMs = 24LL * 60 * 60 * 1000;
 constexpr size_t kMaxNameLength = 253;
 constexpr int64_t kMaxAttempts = 1000;
 constexpr int64_t kLowestPriority = INT32_MAX;
-constexpr int64_t kMinHeaderBytes = 256;
-constexpr int64_t kMaxHeaderBytes = 1024 * 1024;
 constexpr std::array<std::string_view, 6> kMethods = {"GET", "HEAD",   "POST",
                                                       "PUT", "DELETE", "PATCH"};
 
@@ -78,8 +74,8 @@
 void ReadPolicy(ObjectReader& reader, Route* route) {
   route->open = reader.Boolean("open", false);
   route->idempotent = reader.Boolean("idempotent", false);
-  route->max_request_bytes = static_cast<uint64_t>(
-      reader.Integer("max_request_bytes", 0, kMaxBodyBytes, 1024 * 1024));
+  route->max_request_bytes = static_cast<uint64_t>(reader.Integer(
+      "max_request_bytes", 0, CallerLimits::kMaxBodyBytes, 1024 * 1024));
   route->expected_response_bytes = static_cast<uint64_t>(
       reader.Integer("expected_response_bytes", 0, INT32_MAX, 4096));
   route->timeout =
@@ -144,10 +140,12 @@
 CallerLimits ReadCallerLimits(ObjectReader& reader) {
   CallerLimits limits;
   limits.header_bytes = static_cast<size_t>(
-      reader.Integer("header_bytes", kMinHeaderBytes, kMaxHeaderBytes,
+      reader.Integer("header_bytes", CallerLimits::kMinHeaderBytes,
+                     CallerLimits::kMaxHeaderBytes,
                      static_cast<int64_t>(limits.header_bytes)));
-  limits.body_bytes = static_cast<uint64_t>(reader.Integer(
-      "body_bytes", 0, kMaxBodyBytes, static_cast<int64_t>(limits.body_bytes)));
+  limits.body_bytes = static_cast<uint64_t>(
+      reader.Integer("body_bytes", 0, CallerLimits::kMaxBodyBytes,
+                     static_cast<int64_t>(limits.body_bytes)));
   limits.header_timeout = Milliseconds(reader.Integer(
       "header_timeout_ms", 1, kMaxTimeoutMs, limits.header_timeout.count()));
   limits.idle_timeout = Milliseconds(reader.Integer(
--- a/src/steering/internal/usable_section.cc
+++ b/src/steering/internal/usable_section.cc
@@ -70,8 +70,13 @@
   PartChecker checker(name, body.at(kTeam));
   json usable = {{kTeam, body.at(kTeam)}};
   for (const auto& [part, value] : body.items()) {
-    if (part != kTeam) {
-      usable[part] = checker.UsableOf(part, value);
+    if (part == kTeam) {
+      continue;
+    }
+    usable[part] = checker.UsableOf(part, value);
+    // Better the former section than one without any route or service.
+    if (value.is_array() && usable.at(part).empty() && !value.empty()) {
+      return whole.error();
     }
   }
   Result<Section> section = ParseSection(name, usable.dump());
--- a/src/steering/tests/steering_document_test.cc
+++ b/src/steering/tests/steering_document_test.cc
@@ -161,6 +161,8 @@
   REQUIRE(section.caller_limits);
   CHECK(section.caller_limits->body_bytes == 5);
   CHECK(section.caller_limits->header_bytes == CallerLimits().header_bytes);
+  CHECK_FALSE(ParseUsableSection(
+      "s", R"({"team": "t", "host_routes": [{"name": "a"}]})"));
   CHECK_FALSE(ParseUsableSection("s", "[]"));
   CHECK_FALSE(ParseUsableSection("s", R"({"workspaces": []})"));
   CHECK_FALSE(ParseUsableSection("s", "{"));
--- a/src/steering/usable_section.h
+++ b/src/steering/usable_section.h
@@ -19,7 +19,7 @@
 
 // Parses the body of one section as kept in the store. Leaves out each item of
 // a list and each field of an object that is invalid by itself. Fails if the
-// body is no JSON object or names no team.
+// body is no JSON object, names no team, or has a list without a valid item.
 Result<UsableSection> ParseUsableSection(const std::string& name,
                                          std::string_view text);
 
