Use PutManifest in the test of a restored store

Two places wrote the manifest to the stand-in by hand; the stand-in has a function for it. No check changes. store_restore_test_fleet passes (42 assertions), linter and format clean.

--- a/testing/integration/store_restore_test_fleet.cc
+++ b/testing/integration/store_restore_test_fleet.cc
@@ -115,10 +115,7 @@
     CAPTURE(round);
     RestoreWithoutKey(fleet, with_both);
     std::this_thread::sleep_for(kContact + kChangeLimit);
-    fleet.OnLoop([&]() {
-      fleet.store().Put("config", "main",
-                        ManifestWithKeys(11 + 2 * round, {"key-one"}));
-    });
+    fleet.PutManifest(ManifestWithKeys(11 + 2 * round, {"key-one"}));
     std::this_thread::sleep_for(kChangeLimit);
     {
       const KeyUsers removed = StartUsers(fleet, "key-added");
@@ -132,7 +129,7 @@
         CHECK(kept[i]->ran() > 0);
       }
     }
-    fleet.OnLoop([&]() { fleet.store().Put("config", "main", with_both); });
+    fleet.PutManifest(with_both);
     std::this_thread::sleep_for(kChangeLimit);
   }
 }
