--- a/src/delivery/internal/request_carrier.cc
+++ b/src/delivery/internal/request_carrier.cc
@@ -333,11 +333,12 @@
     return;
   }
   std::string text = fmt::format(
-      "event=request request={} outcome={} route={} service={} workspace={} "
-      "from={} target={} expected_ms={} sent={} refusals={} took_ms={} "
-      "left_ms={} document={} reason={}",
+      "event=request request={} outcome={} verdict={} route={} service={} "
+      "workspace={} from={} target={} expected_ms={} sent={} refusals={} "
+      "took_ms={} left_ms={} document={} reason={}",
       context.request_id,
       failure == nullptr ? "answered" : ErrcName(failure->errc),
+      VerdictName(failure == nullptr ? Verdict::kRan : failure->verdict),
       context.route->name, context.service->name, context.workspace_name(),
       context.forwarded() ? context.from_region : "caller",
       delivery.selected_target, delivery.expected.count(), delivery.sent,
--- a/src/delivery/internal/upstream_attempt.cc
+++ b/src/delivery/internal/upstream_attempt.cc
@@ -52,6 +52,8 @@
     return acquired.error();
   }
   connection_ = acquired.value();
+  trace_.connection = connection_->id();
+  trace_.exchange = connection_->exchanges() + 1;
   if (cancellation.cancelled()) {
     pool_.Release(plan_.endpoint, connection_);
     return NotRun(Errc::kCallerGone, "the caller has disconnected");
@@ -147,6 +149,7 @@
   }
   responded_ = true;
   const ResponseHeader& header = connection_->response();
+  trace_.status = header.result_int();
   digest_ =
       ContentDigest::Parse(StdView(header[BeastView(ContentDigest::kField)]));
   if (plan_.to_instance) {
--- a/src/delivery/internal/upstream_attempt.h
+++ b/src/delivery/internal/upstream_attempt.h
@@ -60,6 +60,15 @@
   std::function<void(const TargetStart&)> on_departure;
 };
 
+// What the log says of an attempt.
+struct AttemptTrace {
+  // Id of the connection and number of the exchange on it; 0 if none was open.
+  uint64_t connection = 0;
+  int exchange = 0;
+  // Status of the response; 0 without a response.
+  unsigned status = 0;
+};
+
 // Sends a request to an upstream and relays its response to the caller.
 class UpstreamAttempt {
  public:
@@ -84,6 +93,7 @@
                    const Yield& yield);
 
   std::optional<StoredResponse>& stored_response() { return stored_response_; }
+  const AttemptTrace& trace() const { return trace_; }
   // Returns whether the header of a response arrived.
   bool responded() const { return responded_; }
   // Returns whether the upstream's response was truncated after its header.
@@ -150,6 +160,7 @@
   AttemptPlan plan_;
   ConnectionPool::ConnectionPtr connection_;
   std::optional<StoredResponse> stored_response_;
+  AttemptTrace trace_;
   std::string attempt_id_;
   // Digest from the response's header; std::nullopt if it has none.
   std::optional<ContentDigest> digest_;
--- a/src/delivery/internal/upstream_sender.cc
+++ b/src/delivery/internal/upstream_sender.cc
@@ -50,6 +50,18 @@
       std::max(kStoppedRetryAfter, state.BackoffLeft(now)));
 }
 
+// Describes how an attempt ended, for its log line.
+std::string Describe(const Result<void>& result,
+                     const AttemptTrace& trace,
+                     TimePoint begun) {
+  return fmt::format(
+      "outcome={} verdict={} connection={} exchange={} status={} took_ms={}",
+      result ? "answered" : ErrcName(result.error().errc),
+      VerdictName(result ? Verdict::kRan : result.error().verdict),
+      trace.connection, trace.exchange, trace.status,
+      std::chrono::duration_cast<Milliseconds>(Clock::now() - begun).count());
+}
+
 AttemptOutcome OutcomeOf(const Result<void>& result,
                          const UpstreamAttempt& attempt) {
   if (result && attempt.truncated()) {
@@ -157,12 +169,10 @@
                                           delivery.cancellation, yield);
   LogDecision(
       trail_, context.request_id,
-      fmt::format("event=attempt request={} number={} target={} outcome={} "
-                  "took_ms={} key={} load={}",
+      fmt::format("event=attempt request={} number={} target={} {} key={} "
+                  "load={}",
                   context.request_id, delivery.sent, target.name,
-                  result ? "answered" : ErrcName(result.error().errc),
-                  std::chrono::duration_cast<Milliseconds>(Clock::now() - begun)
-                      .count(),
+                  Describe(result, attempt.trace(), begun),
                   Quoted(context.affinity_key),
                   attempt.load() ? fmt::format("{}+{}", attempt.load()->running,
                                                attempt.load()->waiting)
@@ -218,8 +228,16 @@
   };
   UpstreamAttempt attempt(pool_, *services_.budgets, metrics_, options_.dialect,
                           std::move(plan));
+  const TimePoint begun = Clock::now();
   const Result<void> result = attempt.Run(delivery.body, delivery.exchange,
                                           delivery.cancellation, yield);
+  if (!result) {
+    LogDecision(trail_, context.request_id,
+                fmt::format("event=hop request={} instance={} {} reason={}",
+                            context.request_id, member.name,
+                            Describe(result, attempt.trace(), begun),
+                            Quoted(result.error().detail)));
+  }
   delivery.connect_time = attempt.connect_time();
   if (result || !IsRefusedBeforeSending(result.error().errc)) {
     ++delivery.sent;
--- a/src/framework/http/http_connection.h
+++ b/src/framework/http/http_connection.h
@@ -5,6 +5,7 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/serializer.hpp>
+#include <cstdint>
 #include <memory>
 #include <optional>
 
@@ -35,6 +36,11 @@
   // or a keep-alive probe for this long; 0 leaves it to the system.
   void SetAcknowledgementTimeout(Milliseconds timeout);
 
+  // Number of the connection in this process, for logs.
+  uint64_t id() const { return id_; }
+  // Number of exchanges that were begun.
+  int exchanges() const { return exchanges_; }
+
   // Time that opening the connection took; nothing after its first exchange.
   std::optional<Milliseconds> fresh_connect_time() const {
     return exchanges_ <= 1 ? connect_time_ : std::nullopt;
@@ -76,6 +82,7 @@
  private:
   Failure Broken(const boost::system::error_code& ec) const;
 
+  const uint64_t id_;
   SocketRegistry& sockets_;
   TimedSocket socket_;
   boost::beast::flat_buffer buffer_;
--- a/src/framework/http/internal/http_connection.cc
+++ b/src/framework/http/internal/http_connection.cc
@@ -3,6 +3,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <atomic>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <limits>
@@ -27,11 +28,17 @@
 constexpr size_t kBodyBuffer = 16 * 1024;   // bytes
 static_assert(kResponseHeaderLimit + kBodyBuffer <=
               HttpConnection::kMaxBuffered);
+
+uint64_t NextConnectionId() {
+  static std::atomic<uint64_t> last = 0;
+  return ++last;
+}
 }  // namespace
 
 HttpConnection::HttpConnection(boost::asio::io_context& io,
                                SocketRegistry& sockets)
-    : sockets_(sockets),
+    : id_(NextConnectionId()),
+      sockets_(sockets),
       socket_(sockets, boost::asio::ip::tcp::socket(io)),
       buffer_(kMaxBuffered) {
   buffer_.reserve(kHeaderBuffer);
--- a/testing/integration/faulty_target_test_fleet.cc
+++ b/testing/integration/faulty_target_test_fleet.cc
@@ -5,11 +5,8 @@
 
 #include <atomic>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
-#include <functional>
-#include <list>
 #include <mutex>
 #include <set>
 #include <thread>
@@ -18,6 +15,7 @@
 #include "framework/settings/endpoint.h"
 #include "testing/harness/sync_client.h"
 #include "testing/platform_stand_in/platform_stand_in.h"
+#include "testing/platform_stand_in/raw_target.h"
 
 namespace redwing::testing {
 namespace {
@@ -32,136 +30,14 @@
 constexpr Milliseconds kRouteTimeout{3'000};
 constexpr Milliseconds kAnswerSlack{1'500};
 
-// Bytes that are sent without end stop after this many.
-constexpr size_t kEndless = 256 * 1024 * 1024;
-constexpr size_t kBlock = 256 * 1024;
+constexpr size_t kBlock = RawTarget::kBlock;
 constexpr size_t kMaxGrowth = 32 * 1024 * 1024;
 
-// Repeats a text to blocks, and writes them, with a pause after each, until the
-// other side closes or kEndless bytes were written.
-void WriteWithoutEnd(tcp::socket& socket,
-                     const std::string& text,
-                     size_t block_size,
-                     Milliseconds pause) {
-  std::string block;
-  while (block.size() < block_size) {
-    block += text;
-  }
-  boost::system::error_code ec;
-  for (size_t sent = 0; !ec && sent < kEndless; sent += block.size()) {
-    boost::asio::write(socket, boost::asio::buffer(block), ec);
-    std::this_thread::sleep_for(pause);
-  }
-}
-
-// A target that writes raw bytes: what `respond` returns for the id of a
-// request and its number on the connection; none close the connection. After
-// them it repeats `filler`, if that is not empty, until its caller closes.
-class RawTarget {
- public:
-  using Respond = std::function<std::string(const std::string& id, int number)>;
-
-  explicit RawTarget(Respond respond,
-                     std::string filler = "",
-                     size_t block_size = kBlock,
-                     Milliseconds pause = Milliseconds(0))
-      : respond_(std::move(respond)),
-        filler_(std::move(filler)),
-        block_size_(block_size),
-        pause_(pause),
-        acceptor_(io_, TcpEndpoint("127.0.0.1:0")),
-        thread_([this]() { Accept(); }) {}
-  ~RawTarget() {
-    stopped_ = true;
-    // Wakes the thread that accepts.
-    boost::system::error_code ignored;
-    tcp::socket(io_).connect(acceptor_.local_endpoint(), ignored);
-    thread_.join();
-    for (tcp::socket& socket : sockets_) {
-      socket.shutdown(tcp::socket::shutdown_both, ignored);
-    }
-    for (std::thread& connection : connections_) {
-      connection.join();
-    }
-  }
-  RawTarget(const RawTarget&) = delete;
-  RawTarget& operator=(const RawTarget&) = delete;
-
-  std::string address() const {
-    return FormatEndpoint(acceptor_.local_endpoint());
-  }
-
- private:
-  void Accept() {
-    while (true) {
-      boost::system::error_code ec;
-      tcp::socket socket = acceptor_.accept(ec);
-      if (stopped_ || ec) {
-        return;
-      }
-      sockets_.push_back(std::move(socket));
-      tcp::socket& kept = sockets_.back();
-      connections_.emplace_back([this, &kept]() { Serve(kept); });
-    }
-  }
-
-  void Serve(tcp::socket& socket) {
-    std::string buffer;
-    for (int number = 1;; ++number) {
-      boost::system::error_code ec;
-      const size_t size = boost::asio::read_until(
-          socket, boost::asio::dynamic_buffer(buffer), "\r\n\r\n", ec);
-      if (ec) {
-        return;
-      }
-      const std::string bytes = respond_(IdOf(buffer.substr(0, size)), number);
-      buffer.erase(0, size);
-      boost::asio::write(socket, boost::asio::buffer(bytes), ec);
-      if (!ec && !filler_.empty()) {
-        WriteWithoutEnd(socket, filler_, block_size_, pause_);
-      }
-      if (ec || !filler_.empty() ||
-          bytes.find("\r\n\r\n") == std::string::npos) {
-        socket.shutdown(tcp::socket::shutdown_both, ec);
-        return;
-      }
-    }
-  }
-
-  static std::string IdOf(const std::string& head) {
-    const std::string name = "X-Redwingcart-Request-Id: ";
-    const size_t begin = head.find(name) + name.size();
-    return head.substr(begin, head.find("\r\n", begin) - begin);
-  }
-
-  boost::asio::io_context io_;
-  Respond respond_;
-  std::string filler_;
-  size_t block_size_;
-  Milliseconds pause_;
-  tcp::acceptor acceptor_;
-  std::atomic<bool> stopped_ = false;
-  std::list<tcp::socket> sockets_;
-  std::vector<std::thread> connections_;
-  std::thread thread_;
-};
-
 // Leaves one target of the region of instance 0, at an address of the test.
 void ReplaceTargets(PlatformStandIn& fleet, const RawTarget& target) {
   fleet.OnLoop([&]() {
-    for (size_t i = 0; i < fleet.target_count(); ++i) {
-      fleet.store().Remove("servers", fleet.target(i).id());
-    }
-    fleet.store().Put("servers", "i-raw",
-                      {{"service", "svc"},
-                       {"address", target.address()},
-                       {"zone", "zone-0"},
-                       {"version", "v1"},
-                       {"slots", 1},
-                       {"state", "ready"},
-                       {"warmup_time", "0ms"},
-                       {"seq", 1},
-                       {"born", 1'000}});
+    fleet.RemoveTargets();
+    fleet.ListOther("i-raw", target.address(), 0, 1);
   });
 }
 
@@ -204,11 +80,6 @@
   std::thread thread_;
 };
 
-std::string Head(int status, const std::string& id, const std::string& more) {
-  return fmt::format("HTTP/1.1 {} X\r\nX-Redwingcart-Request-Id: {}\r\n{}\r\n",
-                     status, id, more);
-}
-
 TEST_CASE("odd entries among the targets do not stop the reading of the list") {
   const std::string item =
       R"({{"metadata":{{"name":"odd","revision":1}},"spec":{}}})";
@@ -264,18 +135,19 @@
   std::mutex mutex;
   std::set<std::string> ran;
   std::string refusal;
-  RawTarget target([&](const std::string& id, int number) {
+  RawTarget target([&](const RawRequest& request) {
     const std::lock_guard<std::mutex> lock(mutex);
-    if (number == 1) {
-      refusal = Head(503, id,
-                     "X-Redwingcart-Not-Executed: 1\r\nContent-Length: 0\r\n");
+    if (request.number == 1) {
+      refusal = RawTarget::Head(
+          503, request.id,
+          "X-Redwingcart-Not-Executed: 1\r\nContent-Length: 0\r\n");
       return refusal;
     }
-    ran.insert(id);
+    ran.insert(request.id);
     return refusal +
-           Head(200, id,
-                "X-Redwingcart-Response-Signature: s\r\n"
-                "Content-Length: 2\r\n") +
+           RawTarget::Head(200, request.id,
+                           "X-Redwingcart-Response-Signature: s\r\n"
+                           "Content-Length: 2\r\n") +
            "ok";
   });
   PlatformStandIn fleet(kInstances);
@@ -304,9 +176,9 @@
       "X-Redwingcart-Response-Signature: s\r\nContent-Length: 2\r\n",
       "X-Redwingcart-Response-Signature: s\r\nTransfer-Encoding: chun");
   CAPTURE(more);
-  RawTarget target([&](const std::string& id, int /*number*/) {
+  RawTarget target([&](const RawRequest& request) {
     ++asked;
-    const std::string head = Head(200, id, more);
+    const std::string head = RawTarget::Head(200, request.id, more);
     return head.substr(0, head.size() - 2);
   });
   PlatformStandIn fleet(kInstances);
@@ -343,8 +215,9 @@
       Answer{signed_head, "", "x"});
   CAPTURE(answer.fields, answer.beginning, answer.filler.substr(0, 20));
   RawTarget target(
-      [&](const std::string& id, int /*number*/) {
-        return Head(200, id, answer.fields) + answer.beginning;
+      [&](const RawRequest& request) {
+        return RawTarget::Head(200, request.id, answer.fields) +
+               answer.beginning;
       },
       answer.filler);
   PlatformStandIn fleet(kInstances);
@@ -376,10 +249,11 @@
   const bool chunked = GENERATE(true, false);
   CAPTURE(chunked);
   RawTarget target(
-      [chunked](const std::string& id, int /*number*/) {
-        return Head(200, id,
-                    std::string("X-Redwingcart-Response-Signature: s\r\n") +
-                        (chunked ? "Transfer-Encoding: chunked\r\n" : ""));
+      [chunked](const RawRequest& request) {
+        return RawTarget::Head(
+            200, request.id,
+            std::string("X-Redwingcart-Response-Signature: s\r\n") +
+                (chunked ? "Transfer-Encoding: chunked\r\n" : ""));
       },
       chunked ? "1000\r\n" + std::string(4096, 'x') + "\r\n" : "x", kPiece,
       kPause);
@@ -417,7 +291,7 @@
                            "Authorization: Bearer key-one\r\n"
                            "Transfer-Encoding: chunked\r\n\r\n{}",
                            i, beginning)));
-    WriteWithoutEnd(socket, "x", kBlock, Milliseconds(0));
+    RawTarget::WriteWithoutEnd(socket, "x", kBlock, Milliseconds(0));
   }
   CHECK(memory.Stop() < kMaxGrowth);
   for (int i = 0; i < kInstances; ++i) {
--- a/testing/platform_stand_in/platform_stand_in.cc
+++ b/testing/platform_stand_in/platform_stand_in.cc
@@ -88,13 +88,37 @@
                            const std::string& state,
                            const std::string& service,
                            int64_t born) {
-  const int index = static_cast<int>(target);
-  world_.store->Put("servers", world_.targets[target]->id(),
+  PutTarget(world_.targets[target]->id(), target_addresses_[target],
+            static_cast<int>(target), kSlots, state, service, born);
+}
+
+void PlatformStandIn::ListOther(const std::string& name,
+                                const std::string& address,
+                                int place,
+                                int slots) {
+  constexpr int64_t kBorn = 1'000;
+  PutTarget(name, address, place, slots, "ready", "svc", kBorn);
+}
+
+void PlatformStandIn::RemoveTargets() {
+  for (const std::unique_ptr<TargetStandIn>& target : world_.targets) {
+    world_.store->Remove("servers", target->id());
+  }
+}
+
+void PlatformStandIn::PutTarget(const std::string& name,
+                                const std::string& address,
+                                int place,
+                                int slots,
+                                const std::string& state,
+                                const std::string& service,
+                                int64_t born) {
+  world_.store->Put("servers", name,
                     {{"service", service},
-                     {"address", target_addresses_[target]},
-                     {"zone", ZoneName(index)},
+                     {"address", address},
+                     {"zone", ZoneName(place)},
                      {"version", "v1"},
-                     {"slots", kSlots},
+                     {"slots", slots},
                      {"state", state},
                      {"warmup_time", "0ms"},
                      {"seq", ++sequence_},
--- a/testing/platform_stand_in/platform_stand_in.h
+++ b/testing/platform_stand_in/platform_stand_in.h
@@ -39,6 +39,14 @@
             const std::string& state,
             const std::string& service = "svc",
             int64_t born = 1000);
+  // Writes what a target says of itself that the test runs at an address of its
+  // own, in the region of the instance `place`.
+  void ListOther(const std::string& name,
+                 const std::string& address,
+                 int place,
+                 int slots);
+  // Removes all targets of the stand-in from the list.
+  void RemoveTargets();
   // Cuts the links between some instances and all targets, or restores them.
   void CutFromTargets(const std::vector<int>& instances, OpenConnections open);
   void ReconnectTargets();
@@ -74,6 +82,13 @@
                                             const std::string& prefix);
 
  private:
+  void PutTarget(const std::string& name,
+                 const std::string& address,
+                 int place,
+                 int slots,
+                 const std::string& state,
+                 const std::string& service,
+                 int64_t born);
   std::string Ip(int host) const;
   std::string SettingsOf(int index) const;
   std::string SettingsPath(int index) const;
