Never carry a request's id twice on one connection to a target (REFUSED)

What callers saw: 503 with the verdict not_run for a request that a target ran.

Cause: targets of the platform echo the request's id, not the attempt's, and a target may write an earlier response once more where the next one is expected. If two attempts of one request went over one kept connection (two names at one address, two instances through one slot leader, a caller that comes back under its id), the copy carried the expected id and was believed. Class: a response was matched to a request, not to an attempt.

Change: a connection remembers the ids that it has carried, where responses are matched by them; the pool passes over an idle connection that knows the id, and opens another one. So a matching id names one exchange, whatever an old response says: status, signature, load, Retry-After, leaving, limit.

Weighed: closing each connection that has brought a promise (a new connection for each refusal of a full target, and old 200 responses are still believed); remembering connections by request at the sender (misses the second instance).

--- a/src/delivery/internal/upstream_attempt.cc
+++ b/src/delivery/internal/upstream_attempt.cc
@@ -46,8 +46,9 @@
                                   Cancellation& cancellation,
                                   const Yield& yield) {
   const Result<ConnectionPool::ConnectionPtr> acquired = pool_.Acquire(
-      plan_.endpoint, plan_.deadline,
-      plan_.to_instance ? LinkTimeouts() : kTargetTimeouts, yield);
+      plan_.endpoint, MatchesByRequestId() ? plan_.request_id : std::string(),
+      plan_.deadline, plan_.to_instance ? LinkTimeouts() : kTargetTimeouts,
+      yield);
   if (!acquired) {
     return acquired.error();
   }
@@ -210,6 +211,10 @@
   return valid;
 }
 
+bool UpstreamAttempt::MatchesByRequestId() const {
+  return !plan_.expects_echo && dialect_.targets_echo_request_id;
+}
+
 bool UpstreamAttempt::IsResponseToAttempt() const {
   const ResponseHeader& header = connection_->response();
   const boost::beast::string_view attempt = header[BeastView(kAttemptField)];
@@ -217,7 +222,7 @@
     return StdView(attempt) == attempt_id_;
   }
   // Other targets need not echo an id.
-  return !dialect_.targets_echo_request_id ||
+  return !MatchesByRequestId() ||
          StdView(header[BeastView(dialect_.request_id)]) == plan_.request_id;
 }
 
--- a/src/delivery/internal/upstream_attempt.h
+++ b/src/delivery/internal/upstream_attempt.h
@@ -121,6 +121,9 @@
   // Reads and discards the body of a response which states that nothing was
   // run. Closes the connection if the body is long or late.
   void SkipBody(const Yield& yield);
+  // Returns whether responses are matched by the request's id, which all
+  // attempts of the request share.
+  bool MatchesByRequestId() const;
   // Returns whether the response belongs to this attempt.
   bool IsResponseToAttempt() const;
   // Checks that the response's header is valid for a target.
--- a/src/framework/http/connection_pool.h
+++ b/src/framework/http/connection_pool.h
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <map>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 #include "framework/errors/result.h"
@@ -28,8 +29,12 @@
                  Metrics& metrics,
                  size_t idle_per_endpoint);
 
-  // Returns an idle connection or opens one. Failures are kNotRun.
+  // Returns an idle connection or opens one. `response_id`: the id by which the
+  // response will be matched to the request; the connection has carried no
+  // other request with it. Empty if responses are not matched by the request's
+  // id. Failures are kNotRun.
   Result<ConnectionPtr> Acquire(const boost::asio::ip::tcp::endpoint& endpoint,
+                                std::string_view response_id,
                                 TimePoint deadline,
                                 const LinkTimeouts& timeouts,
                                 const Yield& yield);
@@ -45,6 +50,11 @@
     TimePoint since;
   };
 
+  // Takes the connection out that was used last and has not carried the id;
+  // closes those before it that are not reusable. Null if there is none.
+  ConnectionPtr TakeIdle(const boost::asio::ip::tcp::endpoint& endpoint,
+                         std::string_view response_id);
+
   boost::asio::io_context& io_;
   SocketRegistry& sockets_;
   Metrics& metrics_;
--- a/src/framework/http/http_connection.h
+++ b/src/framework/http/http_connection.h
@@ -10,6 +10,7 @@
 #include <optional>
 
 #include "framework/errors/result.h"
+#include "framework/http/carried_ids.h"
 #include "framework/http/http_types.h"
 #include "framework/http/timed_socket.h"
 
@@ -71,8 +72,12 @@
   // Reads the next part of the body; 0 means its end.
   Result<size_t> ReadBody(char* data, size_t size, const Yield& yield);
 
-  // Returns whether the last exchange ended cleanly and the peer keeps the
-  // connection open.
+  // The ids of the requests that were carried, where responses are matched by
+  // them.
+  CarriedIds& carried_ids() { return carried_ids_; }
+
+  // Returns whether the last exchange ended cleanly, the peer keeps the
+  // connection open, and it may carry a further id.
   bool reusable();
 
   // Ends every running operation with an error.
@@ -90,6 +95,7 @@
   std::optional<http::request_serializer<http::buffer_body>> serializer_;
   std::optional<http::response_parser<http::buffer_body>> parser_;
   std::optional<Milliseconds> connect_time_;
+  CarriedIds carried_ids_;
   int exchanges_ = 0;
   bool request_sent_ = false;
   bool head_request_ = false;
--- a/src/framework/http/internal/connection_pool.cc
+++ b/src/framework/http/internal/connection_pool.cc
@@ -19,19 +19,43 @@
       metrics_(metrics),
       idle_per_endpoint_(idle_per_endpoint) {}
 
+ConnectionPool::ConnectionPtr ConnectionPool::TakeIdle(
+    const boost::asio::ip::tcp::endpoint& endpoint,
+    std::string_view response_id) {
+  std::vector<Idle>& idle = idle_[endpoint];
+  for (size_t i = idle.size(); i-- > 0;) {
+    const ConnectionPtr connection = idle[i].connection;
+    const bool reusable = connection->reusable();
+    if (reusable && !response_id.empty() &&
+        connection->carried_ids().Contains(response_id)) {
+      metrics_
+          .Get("redwing_connections_passed_over_total",
+               "Idle connections not used because they had carried the "
+               "request's id, in connections")
+          .Add();
+      continue;
+    }
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
+    if (reusable) {
+      return connection;
+    }
+  }
+  return nullptr;
+}
+
 Result<ConnectionPool::ConnectionPtr> ConnectionPool::Acquire(
     const boost::asio::ip::tcp::endpoint& endpoint,
+    std::string_view response_id,
     TimePoint deadline,
     const LinkTimeouts& timeouts,
     const Yield& yield) {
-  std::vector<Idle>& idle = idle_[endpoint];
-  while (!idle.empty()) {
-    ConnectionPtr connection = std::move(idle.back().connection);
-    idle.pop_back();
-    if (connection->reusable()) {
-      connection->ExpiresAt(deadline);
-      return connection;
+  const ConnectionPtr known = TakeIdle(endpoint, response_id);
+  if (known) {
+    if (!response_id.empty()) {
+      known->carried_ids().Add(response_id);
     }
+    known->ExpiresAt(deadline);
+    return known;
   }
   metrics_
       .Get("redwing_upstream_connects_total",
@@ -44,6 +68,9 @@
   if (!connected) {
     return connected.error();
   }
+  if (!response_id.empty()) {
+    connection->carried_ids().Add(response_id);
+  }
   connection->SetAcknowledgementTimeout(timeouts.acknowledgement);
   connection->ExpiresAt(deadline);
   return connection;
--- a/src/framework/http/internal/http_connection.cc
+++ b/src/framework/http/internal/http_connection.cc
@@ -160,7 +160,7 @@
 bool HttpConnection::reusable() {
   return socket_.socket().is_open() && request_sent_ && parser_ &&
          parser_->is_done() && parser_->keep_alive() && buffer_.size() == 0 &&
-         socket_.IsQuiet();
+         !carried_ids_.full() && socket_.IsQuiet();
 }
 
 Failure HttpConnection::Broken(const boost::system::error_code& ec) const {
--- a/src/load/internal/load_generator.cc
+++ b/src/load/internal/load_generator.cc
@@ -173,7 +173,7 @@
   const bool repeatable = !arrival.request->once || !idempotency_key.empty();
   const boost::asio::ip::tcp::endpoint endpoint = TcpEndpoint(entry.address);
   const Result<ConnectionPool::ConnectionPtr> acquired =
-      pool_.Acquire(endpoint, deadline, LinkTimeouts(), yield);
+      pool_.Acquire(endpoint, "", deadline, LinkTimeouts(), yield);
   if (!acquired) {
     end->error = "connect_failed";
     end->verdict = Verdict::kNotRun;
