Make the verdict of an attempt in one place, from how it ended

What callers could see: a promise that nobody made. Failure::verdict began as not_run, nine places wrote a verdict of their own, an instance relayed a status that promises without a statement when the instance that sent the request held its route for one that may run again, and a refusal of another instance was believed by its body alone.

Change: AttemptEnd names each way an attempt ends; its table owns the verdict, and UpstreamAttempt sets it in one place. Failure begins as may_have_run. Each instance on the way checks a relayed status by its own version of the route. Refusals between instances carry the hash of their body, and header and body must agree (a build that sends no hash is believed as before, if they agree). A success that states that nothing was run counts as may_have_run. Where a target echoes no id, the connection that brought a statement is closed. A request's verdict is the combination of those of all attempts.

--- a/src/delivery/internal/delivery.h
+++ b/src/delivery/internal/delivery.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "delivery/internal/idempotency_table.h"
+#include "framework/errors/verdict.h"
 #include "framework/kernel/cancellation.h"
 #include "framework/kernel/clock.h"
 
@@ -41,6 +42,8 @@
   bool collect = false;
   // Whether to wait for a slot if none is free.
   bool wait_for_slot = false;
+  // Verdict on all attempts so far.
+  Verdict verdict = Verdict::kNotRun;
   // Number of times that the request was sent to a target or to another
   // instance.
   int sent = 0;
--- a/src/delivery/internal/hop_digest.cc
+++ b/src/delivery/internal/hop_digest.cc
@@ -31,8 +31,12 @@
   return digest;
 }
 
+std::string HopDigest::TextOf(std::string_view body) {
+  return fmt::format("{:016x}", Hash64(body));
+}
+
 void HopDigest::SetOn(ResponseHeader* header, std::string_view body) {
-  header->set(BeastView(kBodyField), fmt::format("{:016x}", Hash64(body)));
+  header->set(BeastView(kBodyField), TextOf(body));
 }
 
 void HopDigest::Add(std::string_view piece) {
--- a/src/delivery/internal/hop_digest.h
+++ b/src/delivery/internal/hop_digest.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "framework/http/http_types.h"
@@ -18,6 +19,8 @@
  public:
   // Returns std::nullopt if the header has no valid hash.
   static std::optional<HopDigest> Parse(const ResponseHeader& header);
+  // Returns the hash of a body as the field kBodyField holds it.
+  static std::string TextOf(std::string_view body);
   // Sets the hash of a body in the header of a response to another instance.
   static void SetOn(ResponseHeader* header, std::string_view body);
 
--- a/src/delivery/internal/request_carrier.cc
+++ b/src/delivery/internal/request_carrier.cc
@@ -6,6 +6,7 @@
 #include "delivery/internal/decision_log.h"
 #include "delivery/internal/delivery.h"
 #include "delivery/internal/header_rules.h"
+#include "delivery/internal/hop_digest.h"
 #include "delivery/internal/request_body.h"
 #include "delivery/internal/retry_rules.h"
 #include "delivery/internal/wait_policy.h"
@@ -122,7 +123,7 @@
         fmt::format("event=request_refused request={} outcome={} reason={}",
                     Quoted(id), ErrcName(context.error().errc),
                     Quoted(context.error().detail)));
-    SendRefusal(exchange, context.error(), yield);
+    Refuse(exchange, addressing, context.error(), yield);
     return;
   }
   const Result<void> carried = HandleAdmitted(context.value(), exchange, yield);
@@ -130,10 +131,22 @@
   if (!carried && carried.error().errc == Errc::kCallerGone) {
     exchange.Break();
   } else if (!carried && !exchange.response_begun() && !exchange.broken()) {
-    SendRefusal(exchange, carried.error(), yield);
+    Refuse(exchange, addressing, carried.error(), yield);
   }
 }
 
+void RequestCarrier::Refuse(HttpExchange& exchange,
+                            Addressing addressing,
+                            const Failure& failure,
+                            const Yield& yield) {
+  if (addressing == Addressing::kByService &&
+      !exchange.Header(kHopField).empty()) {
+    exchange.SetResponseField(kBodyField,
+                              HopDigest::TextOf(RefusalBody(failure)));
+  }
+  SendRefusal(exchange, failure, yield);
+}
+
 Result<void> RequestCarrier::CheckEndsBeforeStop(
     const RequestContext& context) const {
   const std::optional<TimePoint> stop_time =
@@ -243,7 +256,6 @@
 Result<void> RequestCarrier::Deliver(Delivery& delivery, const Yield& yield) {
   Failure last = NotRun(Errc::kNoTarget, "no region can serve the request now",
                         Milliseconds(1000));
-  bool may_have_run = false;
   std::optional<StoredResponse> fallback;
   while (true) {
     const Result<void> result = placements_.TryNext(delivery, yield);
@@ -258,6 +270,7 @@
       break;
     }
     if (result && MayReplaceResponse(delivery)) {
+      delivery.verdict = Verdict::kRan;
       fallback = std::move(delivery.stored_response);
       delivery.stored_response.reset();
       continue;
@@ -266,7 +279,7 @@
       return result;
     }
     last = result.error();
-    may_have_run = may_have_run || last.verdict != Verdict::kNotRun;
+    delivery.verdict = CombinedVerdict(delivery.verdict, last.verdict);
     if (!MayRetry(delivery, last)) {
       break;
     }
@@ -279,9 +292,7 @@
     delivery.stored_response = std::move(fallback);
     return boost::outcome_v2::success();
   }
-  if (may_have_run && last.verdict == Verdict::kNotRun) {
-    last.verdict = Verdict::kMayHaveRun;
-  }
+  last.verdict = CombinedVerdict(delivery.verdict, last.verdict);
   if (options_.led_targets && !delivery.context.forwarded()) {
     last.retry_after = RetryAfterFor(delivery, last);
   }
@@ -307,14 +318,14 @@
 bool RequestCarrier::MayReplaceResponse(const Delivery& delivery) {
   return delivery.stored_response &&
          delivery.stored_response->header.result_int() >= kMinServerError &&
-         delivery.context.route->idempotent && delivery.CanRetry() &&
+         !delivery.context.runs_once() && delivery.CanRetry() &&
          retry_budget_.TrySpend(delivery.context.service->name);
 }
 
 bool RequestCarrier::MayRetry(const Delivery& delivery,
                               const Failure& failure) {
   const bool safe =
-      failure.verdict == Verdict::kNotRun || delivery.context.route->idempotent;
+      failure.verdict == Verdict::kNotRun || !delivery.context.runs_once();
   if (!safe || !delivery.CanRetry()) {
     return false;
   }
--- a/src/delivery/internal/request_carrier.h
+++ b/src/delivery/internal/request_carrier.h
@@ -59,6 +59,11 @@
   Result<void> HandleAdmitted(const RequestContext& context,
                               HttpExchange& exchange,
                               const Yield& yield);
+  // Sends a refusal; another instance also gets the body's hash.
+  static void Refuse(HttpExchange& exchange,
+                     Addressing addressing,
+                     const Failure& failure,
+                     const Yield& yield);
   // Rejects a caller's request, before reading its body, if the processor is
   // overloaded. Returns whether the request was rejected.
   bool Shed(HttpExchange& exchange, const Yield& yield);
--- a/src/delivery/internal/upstream_attempt.cc
+++ b/src/delivery/internal/upstream_attempt.cc
@@ -32,7 +32,6 @@
 // nothing was run; it is only read to keep the connection.
 constexpr size_t kMaxSkippedBytes = 64 * 1024;  // bytes
 constexpr Milliseconds kMaxSkipTime{100};
-constexpr unsigned kMisdirectedStatus = 421;
 // Targets are a short round trip away, and there are others: a request that
 // has not been sent moves to another target before a lost packet is sent again.
 constexpr LinkTimeouts kTargetTimeouts = {Milliseconds(500),
@@ -45,6 +44,29 @@
                                   HttpExchange& exchange,
                                   Cancellation& cancellation,
                                   const Yield& yield) {
+  const Result<void> outcome = Exchange(body, exchange, cancellation, yield);
+  if (outcome) {
+    return outcome;
+  }
+  Failure failure = outcome.error();
+  failure.verdict = VerdictOf(trace_.end);
+  return failure;
+}
+
+Failure UpstreamAttempt::EndAs(AttemptEnd end) {
+  trace_.end = end;
+  return FailureOf(end);
+}
+
+Failure UpstreamAttempt::EndAs(AttemptEnd end, const Failure& reason) {
+  trace_.end = end;
+  return reason;
+}
+
+Result<void> UpstreamAttempt::Exchange(RequestBody& body,
+                                       HttpExchange& exchange,
+                                       Cancellation& cancellation,
+                                       const Yield& yield) {
   const Result<ConnectionPool::ConnectionPtr> acquired = pool_.Acquire(
       plan_.endpoint, MatchesByRequestId() ? plan_.request_id : std::string(),
       plan_.deadline, plan_.to_instance ? LinkTimeouts() : kTargetTimeouts,
@@ -105,6 +127,7 @@
                   "the link has no capacity before the deadline",
                   Milliseconds(1000));
   }
+  trace_.end = AttemptEnd::kNoResponse;
   Result<void> sent = connection_->BeginRequest(
       std::move(plan_.header), first.data(), first.size(),
       body.complete() && buffered.empty(), yield);
@@ -118,8 +141,7 @@
     const Result<std::string_view> piece = body.Next(yield);
     if (!piece) {
       connection_->Abort();
-      return Failure{
-          piece.error().errc, Verdict::kMayHaveRun, piece.error().detail, {}};
+      return MayHaveRun(piece.error().errc, piece.error().detail);
     }
     last = piece.value().empty();
     sent = SendPiece(piece.value(), last, yield);
@@ -162,8 +184,7 @@
         .Get("redwing_answers_crossed_total",
              "Answers that belonged to another request, in answers")
         .Add();
-    return MayHaveRun(Errc::kTargetBroken,
-                      "the response belongs to another request");
+    return EndAs(AttemptEnd::kForeignResponse);
   }
   return plan_.to_instance ? ReadInstanceHeader(yield)
                            : ReadTargetHeader(yield);
@@ -176,9 +197,15 @@
   if (departed && plan_.on_departure) {
     plan_.on_departure(*departed);
   }
-  return header.count(std::string(kVerdictField)) > 0
-             ? Result<void>(ReadRefusal(yield))
-             : boost::outcome_v2::success();
+  if (header.count(std::string(kVerdictField)) > 0) {
+    return ReadRefusal(yield);
+  }
+  trace_.end = EndOfInstanceResponse(header, plan_.runs_once);
+  if (trace_.end != AttemptEnd::kResponded) {
+    connection_->Abort();
+    return FailureOf(trace_.end);
+  }
+  return boost::outcome_v2::success();
 }
 
 Result<void> UpstreamAttempt::ReadTargetHeader(const Yield& yield) {
@@ -186,35 +213,48 @@
   if (!dialect_.load.empty()) {
     load_ = TargetLoad::Parse(StdView(header[BeastView(dialect_.load)]));
   }
-  const bool moved = !dialect_.target_instance.empty() &&
-                     header.result_int() == kMisdirectedStatus;
-  if (moved) {
+  const bool unframed = connection_->undelimited() &&
+                        !connection_->body_done() &&
+                        !dialect_.accepts_unframed_responses;
+  const AttemptEnd end =
+      EndOfTargetResponse(header, dialect_, plan_.runs_once, unframed);
+  trace_.end = end;
+  if (end == AttemptEnd::kMisdirected) {
     SkipBody(yield);
-    return NotRun(Errc::kTargetMoved, "another target is using the address");
+    return FailureOf(end);
   }
   TargetNotice notice = TargetNotice::Read(header, dialect_);
-  const bool not_run = header.count(dialect_.not_run) > 0;
-  const Result<void> valid =
-      not_run ? boost::outcome_v2::success() : ValidateTargetHeader();
-  if (!valid && notice.rate_limit == kNoRateLimit) {
+  const bool stated = end == AttemptEnd::kStatedNotRun;
+  if (end != AttemptEnd::kResponded && !stated &&
+      notice.rate_limit == kNoRateLimit) {
     // A response that is not the target's own does not end a limit.
     notice.rate_limit.reset();
   }
   if (plan_.on_notice) {
     plan_.on_notice(notice);
   }
-  if (not_run) {
+  if (end == AttemptEnd::kResponded) {
+    return boost::outcome_v2::success();
+  }
+  Failure failure = FailureOf(end);
+  if (stated) {
     SkipBody(yield);
-    return NotRun(Errc::kTargetShed, "the target is shedding load",
-                  notice.backoff.value_or(kShedRetryAfter));
+    failure.retry_after = notice.backoff.value_or(kShedRetryAfter);
+  } else {
+    connection_->Abort();
   }
-  return valid;
+  return failure;
 }
 
 bool UpstreamAttempt::MatchesByRequestId() const {
   return !plan_.expects_echo && dialect_.targets_echo_request_id;
 }
 
+bool UpstreamAttempt::IsMatched() const {
+  return plan_.expects_echo || MatchesByRequestId() ||
+         connection_->response().count(std::string(kAttemptField)) > 0;
+}
+
 bool UpstreamAttempt::IsResponseToAttempt() const {
   const ResponseHeader& header = connection_->response();
   const boost::beast::string_view attempt = header[BeastView(kAttemptField)];
@@ -226,42 +266,6 @@
          StdView(header[BeastView(dialect_.request_id)]) == plan_.request_id;
 }
 
-Result<void> UpstreamAttempt::ValidateTargetHeader() {
-  const ResponseHeader& header = connection_->response();
-  const unsigned status = header.result_int();
-  if (connection_->undelimited() && !connection_->body_done() &&
-      !dialect_.accepts_unframed_responses) {
-    connection_->Abort();
-    return Failure{Errc::kTargetBroken,
-                   Verdict::kRan,
-                   "the response has neither a length nor chunked framing",
-                   {}};
-  }
-  const bool success = status >= 200 && status < 300;
-  const bool proven = dialect_.signature.empty() ||
-                      (header.count(dialect_.signature) > 0 &&
-                       header.count(http::field::content_encoding) == 0);
-  if (success && !proven) {
-    connection_->Abort();
-    return Failure{Errc::kTargetBroken,
-                   Verdict::kMayHaveRun,
-                   "the response has no valid target signature",
-                   {}};
-  }
-  if (plan_.runs_once && PromisesNotRun(status)) {
-    // If relayed, this status would tell the caller that nothing was run.
-    connection_->Abort();
-    return Failure{
-        Errc::kTargetBroken,
-        Verdict::kMayHaveRun,
-        fmt::format("the target replied with status {} without stating "
-                    "that nothing was run",
-                    status),
-        {}};
-  }
-  return boost::outcome_v2::success();
-}
-
 void UpstreamAttempt::SkipBody(const Yield& yield) {
   connection_->ExpiresAt(
       std::min<TimePoint>(plan_.deadline, Clock::now() + kMaxSkipTime));
@@ -275,7 +279,7 @@
     }
     skipped += size.value();
   }
-  if (!connection_->body_done()) {
+  if (!connection_->body_done() || !IsMatched()) {
     connection_->Abort();
   }
   pool_.Release(plan_.endpoint, connection_);
@@ -288,15 +292,24 @@
     const Result<size_t> size =
         connection_->ReadBody(piece.data(), piece.size(), yield);
     if (!size) {
-      return size.error();
+      return EndAs(AttemptEnd::kAlteredRefusal, size.error());
     }
     if (size.value() == 0) {
       break;
     }
     body.append(piece, 0, size.value());
   }
-  const Failure failure =
-      ParseRefusal(connection_->response().result_int(), body);
+  const ResponseHeader& header = connection_->response();
+  const Failure failure = ParseRefusal(header.result_int(), body);
+  trace_.end =
+      EndOfRefusal(VerdictFromName(StdView(header[BeastView(kVerdictField)])),
+                   failure.verdict);
+  if (!body.empty() && !BodyMatchesDigests(body, true)) {
+    trace_.end = AttemptEnd::kAlteredRefusal;
+  }
+  if (trace_.end == AttemptEnd::kAlteredRefusal) {
+    connection_->Abort();
+  }
   pool_.Release(plan_.endpoint, connection_);
   return failure;
 }
@@ -306,7 +319,7 @@
   if (connection_->body_done()) {
     const bool is_head = exchange.request().method() == http::verb::head;
     if (!is_head && !BodyMatchesDigests({}, true)) {
-      return MayHaveRun(Errc::kTargetBroken, "the response body is missing");
+      return EndAs(AttemptEnd::kAlteredResponse);
     }
     exchange.BeginResponse(CallerHeader());
     exchange.WriteBody(nullptr, 0, true, yield);
@@ -342,8 +355,7 @@
   const Result<size_t> size =
       connection_->ReadBody(body->data() + buffered, kPiece, yield);
   if (!size) {
-    return Failure{
-        Errc::kTargetBroken, Verdict::kRan, "the response was truncated", {}};
+    return EndAs(AttemptEnd::kCutResponse);
   }
   body->resize(buffered + size.value());
   return boost::outcome_v2::success();
@@ -360,16 +372,12 @@
     const Result<size_t> size =
         connection_->ReadBody(piece.data(), piece.size(), yield);
     if (!size) {
-      return Failure{
-          Errc::kTargetBroken, Verdict::kRan, "the response was truncated", {}};
+      return EndAs(AttemptEnd::kCutResponse);
     }
     if (size.value() == 0) {
       if (!BodyMatchesDigests(stored_response.body, true)) {
         connection_->Abort();
-        return Failure{Errc::kTargetBroken,
-                       Verdict::kRan,
-                       "the response body does not match its digest",
-                       {}};
+        return EndAs(AttemptEnd::kAlteredResponse);
       }
       stored_response_ = std::move(stored_response);
       return boost::outcome_v2::success();
--- a/src/delivery/internal/upstream_attempt.h
+++ b/src/delivery/internal/upstream_attempt.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "delivery/header_dialect.h"
+#include "delivery/internal/attempt_end.h"
 #include "delivery/internal/hop_digest.h"
 #include "delivery/internal/idempotency_table.h"
 #include "framework/errors/result.h"
@@ -67,6 +68,7 @@
   int exchange = 0;
   // Status of the response; 0 without a response.
   unsigned status = 0;
+  AttemptEnd end = AttemptEnd::kNotSent;
 };
 
 // Sends a request to an upstream and relays its response to the caller.
@@ -86,7 +88,7 @@
   // Runs the attempt, which ends early if it is cancelled. Success means that
   // the response was sent to the caller, complete or visibly aborted; or, with
   // plan.collect, that stored_response() holds it. A failure means that none of
-  // a response was sent.
+  // a response was sent; its verdict is that of trace().end.
   Result<void> Run(RequestBody& body,
                    HttpExchange& exchange,
                    Cancellation& cancellation,
@@ -110,6 +112,10 @@
   const std::optional<TargetLoad>& load() const { return load_; }
 
  private:
+  Result<void> Exchange(RequestBody& body,
+                        HttpExchange& exchange,
+                        Cancellation& cancellation,
+                        const Yield& yield);
   Result<void> Send(RequestBody& body, const Yield& yield);
   Result<void> SendPiece(std::string_view piece, bool last, const Yield& yield);
   // Reads the response's header and turns refusals into failures.
@@ -118,16 +124,21 @@
   Result<void> ReadInstanceHeader(const Yield& yield);
   Result<void> ReadTargetHeader(const Yield& yield);
   Failure ReadRefusal(const Yield& yield);
+  // Records how the attempt ended and returns its failure.
+  Failure EndAs(AttemptEnd end);
+  // The same, with the reason for which the connection failed.
+  Failure EndAs(AttemptEnd end, const Failure& reason);
   // Reads and discards the body of a response which states that nothing was
-  // run. Closes the connection if the body is long or late.
+  // run. Closes the connection if the body is long or late, or if a copy of the
+  // response could not be told from the next response.
   void SkipBody(const Yield& yield);
   // Returns whether responses are matched by the request's id, which all
   // attempts of the request share.
   bool MatchesByRequestId() const;
+  // Returns whether the response names the request or the attempt it is for.
+  bool IsMatched() const;
   // Returns whether the response belongs to this attempt.
   bool IsResponseToAttempt() const;
-  // Checks that the response's header is valid for a target.
-  Result<void> ValidateTargetHeader();
   Result<void> Relay(HttpExchange& exchange, const Yield& yield);
   // Returns whether to buffer the complete body before sending the header,
   // which then contains the body's hash.
--- a/src/delivery/internal/upstream_sender.cc
+++ b/src/delivery/internal/upstream_sender.cc
@@ -55,9 +55,10 @@
                      const AttemptTrace& trace,
                      TimePoint begun) {
   return fmt::format(
-      "outcome={} verdict={} connection={} exchange={} status={} took_ms={}",
+      "outcome={} end={} verdict={} connection={} exchange={} status={} "
+      "took_ms={}",
       result ? "answered" : ErrcName(result.error().errc),
-      VerdictName(result ? Verdict::kRan : result.error().verdict),
+      AttemptEndName(trace.end), VerdictName(VerdictOf(trace.end)),
       trace.connection, trace.exchange, trace.status,
       std::chrono::duration_cast<Milliseconds>(Clock::now() - begun).count());
 }
--- a/src/framework/errors/failure.h
+++ b/src/framework/errors/failure.h
@@ -14,7 +14,7 @@
 // when it is worth trying again.
 struct Failure {
   Errc errc = Errc::kInternal;
-  Verdict verdict = Verdict::kNotRun;
+  Verdict verdict = Verdict::kMayHaveRun;
   std::string detail;
   // Time to wait before a further attempt; zero when there is no advice.
   std::chrono::milliseconds retry_after{0};
--- a/src/framework/http/internal/refusal.cc
+++ b/src/framework/http/internal/refusal.cc
@@ -39,11 +39,7 @@
   failure->errc = ErrcFromName(json.value("error", ""));
   failure->detail = json.value("detail", "");
   failure->retry_after = Milliseconds(json.value("retry_after_ms", 0));
-  const std::string verdict = json.value("verdict", "");
-  failure->verdict = verdict == VerdictName(Verdict::kNotRun) ? Verdict::kNotRun
-                     : verdict == VerdictName(Verdict::kRan)
-                         ? Verdict::kRan
-                         : Verdict::kMayHaveRun;
+  failure->verdict = VerdictFromName(json.value("verdict", ""));
 }
 
 }  // namespace
