Say in the hop that a request must not run more than once

What callers could see: a request of a route that runs once is repeated, or refused with a promise, by an instance whose version of the route still (or already) allows repeats, while the caller's instance holds the other version: a changed route, or two builds.

Change: the hop token carries it, appended at its end; the stricter of the two versions holds. Builds before ignore the field and send none.

--- a/src/delivery/internal/hop_token.h
+++ b/src/delivery/internal/hop_token.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "framework/errors/result.h"
+#include "framework/wire/payload.h"
 
 namespace redwing {
 
@@ -36,12 +37,16 @@
   uint32_t attempts = 1;
   uint32_t remaining_ms = 0;
   bool owner_hop = false;
+  // Whether the request must not run more than once by the configuration of an
+  // instance that it has passed.
+  bool runs_once = false;
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(to_process, from_region, workspace, key_id, request_id,
             request_line, host_route, service, target, required_target, age_ms,
             attempts, remaining_ms, owner_hop);
+    ArchiveAppended(archive, runs_once);
   }
 };
 
--- a/src/delivery/internal/request_context.h
+++ b/src/delivery/internal/request_context.h
@@ -40,6 +40,9 @@
   // Whether the forwarding instance addresses this process as the owner of the
   // idempotency key.
   bool owner_hop = false;
+  // Whether the forwarding instance holds that the request must not run more
+  // than once; its version of the route may be another one.
+  bool must_run_once = false;
 
   // Returns the time since the request arrived at the first instance.
   Milliseconds age() const {
@@ -67,7 +70,7 @@
            (workspace == nullptr || IsHome(workspace->home_regions, region));
   }
   // Returns whether the request must not run more than once.
-  bool runs_once() const { return !route->idempotent; }
+  bool runs_once() const { return must_run_once || !route->idempotent; }
 
  private:
   static bool IsHome(const std::vector<std::string>& homes,
--- a/src/delivery/internal/upstream_sender.cc
+++ b/src/delivery/internal/upstream_sender.cc
@@ -385,6 +385,7 @@
   token.age_ms = static_cast<uint32_t>(
       std::chrono::duration_cast<Milliseconds>(now - context.begun).count());
   token.required_target = delivery.selected_target;
+  token.runs_once = context.runs_once();
   if (context.host_route != nullptr) {
     token.host_route = context.host_route->route.name;
     token.service = context.service->name;
--- a/src/delivery/tests/hop_token_test.cc
+++ b/src/delivery/tests/hop_token_test.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 
+#include "delivery/internal/request_context.h"
+
 namespace redwing {
 namespace {
 
@@ -39,6 +41,21 @@
   CHECK(ErrcHttpStatus(astray.error().errc) == 503);
 }
 
+// Guards against an instance that runs a request again because its version of
+// the route allows it and that of the caller's instance does not.
+TEST_CASE("a request that runs once does so wherever it is forwarded") {
+  RequestContext context;
+  Route route;
+  route.idempotent = true;
+  context.route = &route;
+  CHECK_FALSE(context.runs_once());
+  HopToken token;
+  token.runs_once = true;
+  const HopSigner signer({"secret-secret-secret"});
+  context.must_run_once = signer.Verify(signer.Sign(token)).value().runs_once;
+  CHECK(context.runs_once());
+}
+
 // Guards against tokens that grow with the request beyond what a field holds.
 TEST_CASE("the size of a hop token does not depend on a long request line") {
   const HopSigner signer({"secret-secret-secret"});
