Play unreliable targets and instances against what callers are told

A seeded case on real processes: six instances, twelve targets that refuse a fifth of the requests, write earlier responses once more, cut responses and start again at their addresses under new names, with instances paused and killed meanwhile. Checked from outside: what was refused with a promise has not run, what runs once ran at most once, no caller got another's answer.

--- a/testing/integration/promise_test_fleet.cc
+++ b/testing/integration/promise_test_fleet.cc
@@ -3,12 +3,19 @@
 
 #include <fmt/format.h>
 
+#include <atomic>
 #include <catch2/catch.hpp>
+#include <csignal>
+#include <iostream>
 #include <map>
+#include <memory>
 #include <mutex>
+#include <random>
 #include <string>
 #include <thread>
+#include <vector>
 
+#include "testing/integration/platform_load.h"
 #include "testing/platform_stand_in/platform_stand_in.h"
 #include "testing/platform_stand_in/raw_target.h"
 
@@ -82,5 +89,264 @@
   CHECK(served > 0);
 }
 
+// What one target does at random, in parts of all requests.
+struct Faults {
+  double refuses = 0.2;
+  double repeats = 0.5;  // of the responses that follow another one
+  double cuts = 0.02;
+};
+
+// Counts what all targets have run.
+class RunCounter {
+ public:
+  void Add(const std::string& id) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    ++runs_[id];
+  }
+  int Of(const std::string& id) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto found = runs_.find(id);
+    return found == runs_.end() ? 0 : found->second;
+  }
+
+ private:
+  std::mutex mutex_;
+  std::map<std::string, int> runs_;
+};
+
+// A target that refuses, cuts and repeats responses, and starts again at its
+// address under new names.
+class UnreliableTarget {
+ public:
+  UnreliableTarget(int index, uint64_t seed, RunCounter& counter)
+      : prefix_(fmt::format("f{}", index)),
+        random_(seed),
+        counter_(counter),
+        target_(
+            [this](const RawRequest& request) { return Respond(request); }) {}
+
+  std::string name() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return fmt::format("{}-{}", prefix_, start_);
+  }
+  std::string address() const { return target_.address(); }
+  // Ends the target and starts it again under a new name.
+  void StartAgain() {
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      ++start_;
+      last_.clear();
+    }
+    target_.CloseConnections();
+  }
+
+ private:
+  static constexpr Milliseconds kRunTime{10};
+
+  std::string Respond(const RawRequest& request) {
+    std::string earlier;
+    std::string response;
+    bool runs = false;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      std::string& last = last_[request.connection];
+      earlier = Chance(faults_.repeats) ? last : "";
+      const bool mine = request.target == fmt::format("{}-{}", prefix_, start_);
+      runs = mine && !Chance(faults_.refuses);
+      response = runs   ? Success(request.id)
+                 : mine ? Refusal(503, request.id)
+                        : Refusal(421, request.id);
+      last = response;
+      if (runs && Chance(faults_.cuts)) {
+        earlier.clear();
+        response.clear();
+      }
+    }
+    if (runs) {
+      counter_.Add(request.id);
+      std::this_thread::sleep_for(kRunTime);
+    }
+    return earlier + response;
+  }
+
+  bool Chance(double part) {
+    return std::uniform_real_distribution<double>()(random_) < part;
+  }
+
+  const std::string prefix_;
+  const Faults faults_;
+  std::mutex mutex_;
+  std::mt19937_64 random_;
+  int start_ = 0;
+  // The last response on each connection.
+  std::map<int, std::string> last_;
+  RunCounter& counter_;
+  RawTarget target_;
+};
+
+// What a caller was told of a request.
+struct Told {
+  std::string id;
+  bool runs_once = false;
+  // 0: the connection ended without an answer.
+  unsigned status = 0;
+  std::string body;
+};
+
+// Callers of all instances, whose answers are kept.
+class Callers {
+ public:
+  Callers(PlatformStandIn& fleet, int instances, int callers) {
+    for (int caller = 0; caller < callers; ++caller) {
+      threads_.emplace_back([this, &fleet, instances, caller]() {
+        for (int i = 0; !stopped_; ++i) {
+          const bool runs_once = i % 3 != 0;
+          const std::string id = fmt::format("k-{}-{}", caller, i);
+          const Result<HttpReply> reply =
+              fleet.Send((caller + i) % instances, id,
+                         runs_once ? http::verb::post : http::verb::get,
+                         runs_once ? "/unsafe/1" : "/safe/1");
+          const std::lock_guard<std::mutex> lock(mutex_);
+          told_.push_back({id, runs_once, reply ? reply.value().status : 0,
+                           reply ? reply.value().body : ""});
+        }
+      });
+    }
+  }
+  ~Callers() { Stop(); }
+  Callers(const Callers&) = delete;
+  Callers& operator=(const Callers&) = delete;
+
+  const std::vector<Told>& Stop() {
+    stopped_ = true;
+    for (std::thread& thread : threads_) {
+      if (thread.joinable()) {
+        thread.join();
+      }
+    }
+    return told_;
+  }
+
+ private:
+  std::atomic<bool> stopped_ = false;
+  std::mutex mutex_;
+  std::vector<Told> told_;
+  std::vector<std::thread> threads_;
+};
+
+// The lines of all instances' logs on a request.
+std::string LogOf(const PlatformStandIn& fleet,
+                  int instances,
+                  const std::string& id) {
+  std::string lines;
+  for (int i = 0; i < instances; ++i) {
+    const std::string log = fleet.LogOf(i);
+    const std::string wanted = fmt::format("request={} ", id);
+    for (size_t at = log.find(wanted); at != std::string::npos;
+         at = log.find(wanted, at + 1)) {
+      const size_t begin = log.rfind('\n', at) + 1;
+      lines += fmt::format("node-{}: {}\n", i,
+                           log.substr(begin, log.find('\n', at) - begin));
+    }
+  }
+  return lines;
+}
+
+// Guards against promises for requests that run, under targets and instances
+// that fail in all the ways that the platform allows at once.
+TEST_CASE("what is refused with a promise never runs while much goes wrong") {
+  constexpr int kEntries = 6;
+  constexpr int kTargets = 12;
+  constexpr int kCallers = 24;
+  constexpr int kSlots = 4;
+  constexpr Milliseconds kPlay{12'000};
+  constexpr Milliseconds kStep{250};
+  // Requests that are still on their way run until then.
+  constexpr Milliseconds kRouteTimeout{3'000};
+  const int seed = GENERATE(range(1, SeedCount() + 1));
+  CAPTURE(seed);
+  std::mt19937_64 random(seed);
+  RunCounter counter;
+  PlatformStandIn fleet(kEntries);
+  REQUIRE(fleet.AwaitReady(kStartLimit));
+  std::vector<std::unique_ptr<UnreliableTarget>> targets;
+  for (int i = 0; i < kTargets; ++i) {
+    targets.push_back(std::make_unique<UnreliableTarget>(i, random(), counter));
+  }
+  fleet.OnLoop([&]() {
+    fleet.RemoveTargets();
+    for (int i = 0; i < kTargets; ++i) {
+      fleet.ListOther(targets[i]->name(), targets[i]->address(), i, kSlots);
+    }
+  });
+  std::this_thread::sleep_for(kListTime);
+  Callers callers(fleet, kEntries, kCallers);
+  const TimePoint end = Clock::now() + kPlay;
+  // Former names that are still listed, and when they are removed.
+  std::multimap<TimePoint, std::string> former;
+  int paused = -1;
+  while (Clock::now() < end) {
+    std::this_thread::sleep_for(kStep);
+    if (paused >= 0) {
+      fleet.instance(paused).Signal(SIGCONT);
+      paused = -1;
+    }
+    const int place = static_cast<int>(random() % kTargets);
+    const std::string old = targets[place]->name();
+    targets[place]->StartAgain();
+    former.emplace(Clock::now() + Milliseconds(random() % 1'500), old);
+    fleet.OnLoop([&]() {
+      fleet.ListOther(targets[place]->name(), targets[place]->address(), place,
+                      kSlots);
+      while (!former.empty() && former.begin()->first < Clock::now()) {
+        fleet.store().Remove("servers", former.begin()->second);
+        former.erase(former.begin());
+      }
+    });
+    const int instance = static_cast<int>(random() % kEntries);
+    switch (random() % 8) {
+      case 0:
+        paused = instance;
+        fleet.instance(instance).Signal(SIGSTOP);
+        break;
+      case 1:
+        fleet.instance(instance).Kill();
+        fleet.StartInstance(instance);
+        break;
+      default:
+        break;
+    }
+  }
+  if (paused >= 0) {
+    fleet.instance(paused).Signal(SIGCONT);
+  }
+  const std::vector<Told>& told = callers.Stop();
+  std::this_thread::sleep_for(kRouteTimeout);
+  int served = 0;
+  std::map<unsigned, int> statuses;
+  for (const Told& answer : told) {
+    const int runs = counter.Of(answer.id);
+    const bool kept =
+        !answer.runs_once || !Promises(answer.status) || runs == 0;
+    const bool once = !answer.runs_once || runs <= 1;
+    const bool own = answer.status != 200 || answer.body == "ran " + answer.id;
+    ++statuses[answer.status];
+    served += answer.status == 200 ? 1 : 0;
+    if (!kept || !once || !own) {
+      CAPTURE(answer.id, answer.status, answer.body, runs,
+              LogOf(fleet, kEntries, answer.id));
+      CHECK(kept);
+      CHECK(once);
+      CHECK(own);
+    }
+  }
+  std::string summary = fmt::format("seed {}: {} requests", seed, told.size());
+  for (const auto& [status, count] : statuses) {
+    summary += fmt::format(", {} of status {}", count, status);
+  }
+  std::cout << summary << "\n";
+  CHECK(served > static_cast<int>(told.size()) / 2);
+}
+
 }  // namespace
 }  // namespace redwing::testing
