Deliver a keyed request where its owner sends it, not back to the owner

Cause: the instance of the other region saw the key, did not know that the owner had registered and sent the request, and forwarded it back; the owner took it for a repeat of the one that runs.

The decisions on a key are logged: begun, repeated, passed_to_owner, owner_unreachable, freed, unknown, answered, answered_not_kept, with the key's digest. If nothing was run, the owner frees the key as before.

--- a/src/delivery/internal/delivery.h
+++ b/src/delivery/internal/delivery.h
@@ -38,6 +38,9 @@
   Cancellation cancellation;
   // Whether the attempts are cancelled when the caller disconnects.
   bool cancellable = false;
+  // Whether this process owns the request's idempotency key and has registered
+  // the request.
+  bool owns_key = false;
   // Whether to buffer the response instead of streaming it to the caller.
   bool collect = false;
   // Whether to wait for a slot if none is free.
--- a/src/delivery/internal/hop_token.h
+++ b/src/delivery/internal/hop_token.h
@@ -40,6 +40,9 @@
   // Whether the request must not run more than once by the configuration of an
   // instance that it has passed.
   bool runs_once = false;
+  // Whether the owner of the idempotency key has registered the request, so
+  // that it is delivered as one without a key.
+  bool key_registered = false;
 
   template <typename Archive>
   void serialize(Archive& archive) {
@@ -47,6 +50,7 @@
             request_line, host_route, service, target, required_target, age_ms,
             attempts, remaining_ms, owner_hop);
     ArchiveAppended(archive, runs_once);
+    ArchiveAppended(archive, key_registered);
   }
 };
 
--- a/src/delivery/internal/keyed_requests.cc
+++ b/src/delivery/internal/keyed_requests.cc
@@ -4,6 +4,7 @@
 
 #include "budget/budgets.h"
 #include "delivery/internal/carrier_services.h"
+#include "delivery/internal/decision_log.h"
 #include "delivery/internal/delivery.h"
 #include "delivery/internal/link_estimate.h"
 #include "delivery/internal/request_body.h"
@@ -30,9 +31,11 @@
 
 KeyedRequests::KeyedRequests(const CarrierServices& services,
                              UpstreamSender& sender,
+                             RequestTrail& trail,
                              DeliverFunction deliver)
     : services_(services),
       sender_(sender),
+      trail_(trail),
       deliver_(std::move(deliver)),
       table_(Clock::now()),
       claims_(services.store, services.identity) {}
@@ -96,6 +99,7 @@
   }
   if (known.value()) {
     const KeyRecordEntry& entry = *known.value();
+    Log(context, "repeated");
     if (entry.state == KeyState::kAnswered) {
       delivery.Respond(*entry.stored_response, yield);
       return boost::outcome_v2::success();
@@ -110,22 +114,27 @@
     return MayHaveRun(Errc::kIdempotencyOutcomeUnknown,
                       "the request with the key may have run");
   }
+  Log(context, "begun");
   delivery.collect = true;
+  delivery.owns_key = true;
   const Result<void> result = deliver_(delivery, yield);
   if (!result) {
     if (result.error().verdict == Verdict::kNotRun) {
       table_.Remove(key);
+      Log(context, "freed");
     } else {
       table_.MarkUnknown(key);
+      Log(context, "unknown");
     }
     return result;
   }
   if (!delivery.stored_response) {
-    // The response was streamed: it is too large to be kept, or comes from an
-    // instance of another region.
+    // The response was streamed: it is too large to be kept.
     table_.MarkUnknown(key);
+    Log(context, "answered_not_kept");
     return result;
   }
+  Log(context, "answered");
   const StoredResponse stored_response = *delivery.stored_response;
   table_.Store(key, stored_response);
   const std::string link = sender_.ResponseLink(context);
@@ -149,6 +158,7 @@
       continue;
     }
     const Member owner = member;
+    Log(delivery.context, "passed_to_owner");
     Result<void> result =
         sender_.ForwardToInstance(delivery, owner, true, yield);
     if (!result && result.error().errc == Errc::kTargetUnreachable) {
@@ -156,9 +166,19 @@
     }
     return result;
   }
+  Log(delivery.context, "owner_unreachable");
   // An earlier request with the key may have reached the owner.
   return MayHaveRun(Errc::kIdempotencyOutcomeUnknown,
                     "the process that the key is bound to cannot be reached");
 }
 
+void KeyedRequests::Log(const RequestContext& context,
+                        std::string_view decision) const {
+  LogDecision(trail_, context.request_id,
+              fmt::format("event=idempotency_key request={} key_digest={:016x} "
+                          "decision={}",
+                          context.request_id, Hash64(context.idempotency_key),
+                          decision));
+}
+
 }  // namespace redwing
--- a/src/delivery/internal/keyed_requests.h
+++ b/src/delivery/internal/keyed_requests.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 
 #include "delivery/internal/idempotency_claims.h"
 #include "delivery/internal/idempotency_table.h"
@@ -12,9 +13,11 @@
 
 namespace redwing {
 
+class RequestTrail;
 class UpstreamSender;
 struct CarrierServices;
 struct Delivery;
+struct RequestContext;
 
 // Runs requests with an idempotency key at most once: each key is bound to one
 // process, which records the outcome of the request.
@@ -25,9 +28,10 @@
   using DeliverFunction =
       std::function<Result<void>(Delivery& delivery, const Yield& yield)>;
 
-  // `services` and `sender` must outlive this object.
+  // `services`, `sender` and `trail` must outlive this object.
   KeyedRequests(const CarrierServices& services,
                 UpstreamSender& sender,
+                RequestTrail& trail,
                 DeliverFunction deliver);
 
   // Handles a request with a key. Success means that the response was sent to
@@ -43,8 +47,11 @@
                               const std::string& process_id,
                               const Yield& yield);
 
+  void Log(const RequestContext& context, std::string_view decision) const;
+
   const CarrierServices& services_;
   UpstreamSender& sender_;
+  RequestTrail& trail_;
   DeliverFunction deliver_;
   IdempotencyTable table_;
   IdempotencyClaims claims_;
--- a/src/delivery/internal/request_admitter.cc
+++ b/src/delivery/internal/request_admitter.cc
@@ -308,6 +308,7 @@
   context->from_region = token.from_region;
   context->owner_hop = token.owner_hop;
   context->must_run_once = token.runs_once;
+  context->key_registered = token.key_registered;
   context->key_id = token.key_id;
   context->deadline = std::min<TimePoint>(
       context->deadline, Clock::now() + Milliseconds(token.remaining_ms));
--- a/src/delivery/internal/request_carrier.cc
+++ b/src/delivery/internal/request_carrier.cc
@@ -65,6 +65,7 @@
       placements_(services_, options_, sender_),
       keyed_(services_,
              sender_,
+             trail_,
              [this](Delivery& delivery, const Yield& yield) {
                return Deliver(delivery, yield);
              }),
@@ -219,9 +220,8 @@
                                             HttpExchange& exchange,
                                             const Yield& yield) {
   RequestBody body(exchange, context.route->max_request_bytes);
-  const bool keyed = context.runs_once() && !context.idempotency_key.empty();
-  const Result<void> read =
-      body.Prefetch(keyed ? kMaxKeyedBody : RequestBody::kPrefetch, yield);
+  const Result<void> read = body.Prefetch(
+      context.keyed() ? kMaxKeyedBody : RequestBody::kPrefetch, yield);
   if (!read) {
     return read.error();
   }
@@ -233,7 +233,7 @@
     LogOutcome(delivery, &ends.error());
     return ends.error();
   }
-  if (keyed) {
+  if (context.keyed()) {
     const Result<void> result = keyed_.Handle(delivery, yield);
     LogOutcome(delivery, result ? nullptr : &result.error());
     return result;
--- a/src/delivery/internal/request_context.h
+++ b/src/delivery/internal/request_context.h
@@ -43,6 +43,9 @@
   // Whether the forwarding instance holds that the request must not run more
   // than once; its version of the route may be another one.
   bool must_run_once = false;
+  // Whether the process that owns the idempotency key has registered the
+  // request and forwarded it.
+  bool key_registered = false;
 
   // Returns the time since the request arrived at the first instance.
   Milliseconds age() const {
@@ -69,6 +72,11 @@
     return IsHome(route->home_regions, region) &&
            (workspace == nullptr || IsHome(workspace->home_regions, region));
   }
+  // Returns whether this instance is to find the process that owns the
+  // request's idempotency key, or is that process.
+  bool keyed() const {
+    return runs_once() && !idempotency_key.empty() && !key_registered;
+  }
   // Returns whether the request must not run more than once.
   bool runs_once() const { return must_run_once || !route->idempotent; }
 
--- a/src/delivery/internal/upstream_sender.cc
+++ b/src/delivery/internal/upstream_sender.cc
@@ -386,6 +386,7 @@
       std::chrono::duration_cast<Milliseconds>(now - context.begun).count());
   token.required_target = delivery.selected_target;
   token.runs_once = context.runs_once();
+  token.key_registered = context.key_registered || delivery.owns_key;
   if (context.host_route != nullptr) {
     token.host_route = context.host_route->route.name;
     token.service = context.service->name;
--- a/testing/compatibility/messages_test.cc
+++ b/testing/compatibility/messages_test.cc
@@ -109,7 +109,7 @@
   return {
       "process", "region",  "workspace", "key",    "request", "GET /v1/hop/x",
       "route",   "service", "/x?y=%7A",  "target", 301,       302,
-      303,       true,      true};
+      303,       true,      true,        true};
 }
 
 template <>
--- a/testing/integration/delivery_test_fleet.cc
+++ b/testing/integration/delivery_test_fleet.cc
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <thread>
 
+#include "framework/settings/endpoint.h"
 #include "testing/harness/deployments.h"
 #include "testing/harness/sync_client.h"
 #include "testing/integration/fleet_checks.h"
@@ -210,6 +211,44 @@
   }
 }
 
+// Guards against a request with a key that its owner forwards and that comes
+// back to the owner, which takes it for a repeat.
+TEST_CASE("a request with a key is answered by targets of another region") {
+  Fleet fleet(SmallPlan(2, 1, kRate, kBurst));
+  fleet.Start();
+  const std::string key = fleet.IssueKey("alpha");
+  const std::string owner = fleet.entries()[0].http_address;
+  for (const auto& [name, address] : fleet.target_addresses()) {
+    if (fleet.TargetDocument(name).at("region") == "r1") {
+      fleet.ListTarget(name, true);
+    }
+  }
+  std::this_thread::sleep_for(Milliseconds(2000));
+  const json lookup = CallJson(http::verb::get, owner, "/v1/entry?service=svc");
+  for (const json& entry : lookup.at("entries")) {
+    const std::string token =
+        entry.at("idempotency_prefix").get<std::string>() + "-moved";
+    HttpCall call;
+    call.endpoint = TcpEndpoint(owner);
+    call.method = http::verb::post;
+    call.target = "/v1/services/svc/x";
+    call.headers = {{"Authorization", "Bearer " + key},
+                    {"Idempotency-Key", token},
+                    {"X-Token", token}};
+    // The second one is answered from the owner's record.
+    for (int i = 0; i < 2; ++i) {
+      const HttpReply reply = CallSync(call).value();
+      CAPTURE(token, i, reply.status, reply.body);
+      CHECK(reply.status == 200);
+    }
+    int runs = 0;
+    for (const json& run : fleet.Runs()) {
+      runs += run.at(2) == token ? 1 : 0;
+    }
+    CHECK(runs == 1);
+  }
+}
+
 TEST_CASE("every instance is stopped as planned in turn, nothing is cut") {
   FleetPlan plan = SmallPlan(2, 2, kRate, kBurst);
   plan.entry_settings = {{"lookup_ttl_ms", 1000}};
