Read past a response that a target writes once more

What callers saw: 502, may_have_run, although the response to their request was next on the connection: a copy of an earlier one came first, and the connection was closed.

Cause: the id of the copy was only compared with the one expected.

Change: a response whose id the connection has carried before is the copy of an earlier one; its body is discarded and the next response read, at most four times. Not on a connection that has carried a HEAD request, where the copy's end cannot be told, nor for a copy that only the connection's end would end. What belongs to no request of the connection still closes it.

--- a/src/delivery/internal/upstream_attempt.cc
+++ b/src/delivery/internal/upstream_attempt.cc
@@ -28,14 +28,16 @@
 constexpr size_t kAttemptIdBytes = 8;
 constexpr Milliseconds kBodyIdleTimeout{10'000};
 constexpr Milliseconds kMaxBodyTime{600'000};
-// Bounds of reading what follows the header of a response that states that
-// nothing was run; it is only read to keep the connection.
+// Bounds of reading the body of a response that is discarded; it is only read
+// to keep the connection.
 constexpr size_t kMaxSkippedBytes = 64 * 1024;  // bytes
 constexpr Milliseconds kMaxSkipTime{100};
 // Targets are a short round trip away, and there are others: a request that
 // has not been sent moves to another target before a lost packet is sent again.
 constexpr LinkTimeouts kTargetTimeouts = {Milliseconds(500),
                                           Milliseconds(1'000)};
+// Responses to earlier requests that are skipped before the one that is due.
+constexpr int kMaxEarlierResponses = 4;
 // Retry-After for a request that a target shed without naming a time.
 constexpr Milliseconds kShedRetryAfter{1'000};
 }  // namespace
@@ -166,7 +168,12 @@
 }
 
 Result<void> UpstreamAttempt::ReadHeader(const Yield& yield) {
-  const Result<void> read = connection_->ReadHeader(yield);
+  Result<void> read = connection_->ReadHeader(yield);
+  for (int i = 0; i < kMaxEarlierResponses && read && !IsResponseToAttempt() &&
+                  SkipEarlierResponse(yield);
+       ++i) {
+    read = connection_->ReadHeader(yield);
+  }
   if (!read) {
     return read.error();
   }
@@ -266,7 +273,32 @@
          StdView(header[BeastView(dialect_.request_id)]) == plan_.request_id;
 }
 
+bool UpstreamAttempt::SkipEarlierResponse(const Yield& yield) {
+  const std::string_view id =
+      StdView(connection_->response()[BeastView(dialect_.request_id)]);
+  if (!MatchesByRequestId() || !connection_->carried_ids().Contains(id) ||
+      connection_->undelimited() || connection_->carried_head() ||
+      !DiscardBody(yield)) {
+    return false;
+  }
+  metrics_
+      .Get("redwing_answers_repeated_total",
+           "Answers to earlier requests that targets wrote once more, in "
+           "answers")
+      .Add();
+  connection_->ExpiresAt(plan_.deadline);
+  connection_->ExpectResponse();
+  return true;
+}
+
 void UpstreamAttempt::SkipBody(const Yield& yield) {
+  if (!DiscardBody(yield) || !IsMatched()) {
+    connection_->Abort();
+  }
+  pool_.Release(plan_.endpoint, connection_);
+}
+
+bool UpstreamAttempt::DiscardBody(const Yield& yield) {
   connection_->ExpiresAt(
       std::min<TimePoint>(plan_.deadline, Clock::now() + kMaxSkipTime));
   std::string ignored(kPiece, '\0');
@@ -279,10 +311,7 @@
     }
     skipped += size.value();
   }
-  if (!connection_->body_done() || !IsMatched()) {
-    connection_->Abort();
-  }
-  pool_.Release(plan_.endpoint, connection_);
+  return connection_->body_done();
 }
 
 Failure UpstreamAttempt::ReadRefusal(const Yield& yield) {
--- a/src/delivery/internal/upstream_attempt.h
+++ b/src/delivery/internal/upstream_attempt.h
@@ -124,6 +124,13 @@
   Result<void> ReadInstanceHeader(const Yield& yield);
   Result<void> ReadTargetHeader(const Yield& yield);
   Failure ReadRefusal(const Yield& yield);
+  // Reads and discards a response to an earlier request on the connection that
+  // the target has written once more. Returns false if the response is none, or
+  // its end is not found.
+  bool SkipEarlierResponse(const Yield& yield);
+  // Reads and discards the body of a response; returns whether it has ended in
+  // bounds.
+  bool DiscardBody(const Yield& yield);
   // Records how the attempt ended and returns its failure.
   Failure EndAs(AttemptEnd end);
   // The same, with the reason for which the connection failed.
--- a/src/framework/http/http_connection.h
+++ b/src/framework/http/http_connection.h
@@ -63,6 +63,11 @@
 
   // Reads the response's header; informational responses are skipped.
   Result<void> ReadHeader(const Yield& yield);
+  // Prepares for reading another response, once the last one was read whole.
+  void ExpectResponse();
+  // Returns whether a HEAD request was sent: whether its response has a body
+  // cannot be told from the response.
+  bool carried_head() const { return carried_head_; }
   const ResponseHeader& response() const { return parser_->get(); }
   std::optional<uint64_t> content_length() const;
   // Returns whether only the end of the connection would end the body, so that
@@ -99,6 +104,7 @@
   int exchanges_ = 0;
   bool request_sent_ = false;
   bool head_request_ = false;
+  bool carried_head_ = false;
 };
 
 }  // namespace redwing
--- a/src/framework/http/internal/http_connection.cc
+++ b/src/framework/http/internal/http_connection.cc
@@ -89,11 +89,9 @@
   head_request_ = header.method() == http::verb::head;
   request_sent_ = false;
   ++exchanges_;
+  carried_head_ = carried_head_ || head_request_;
   serializer_.reset();
-  parser_.emplace();
-  parser_->header_limit(kResponseHeaderLimit);
-  parser_->body_limit(std::numeric_limits<uint64_t>::max());
-  parser_->skip(head_request_);
+  ExpectResponse();
   request_.emplace(std::move(header));
   serializer_.emplace(*request_);
   return WriteBody(data, size, last, yield);
@@ -126,13 +124,17 @@
     if (status >= 200) {
       return boost::outcome_v2::success();
     }
-    parser_.emplace();
-    parser_->header_limit(kResponseHeaderLimit);
-    parser_->body_limit(std::numeric_limits<uint64_t>::max());
-    parser_->skip(head_request_);
+    ExpectResponse();
   }
 }
 
+void HttpConnection::ExpectResponse() {
+  parser_.emplace();
+  parser_->header_limit(kResponseHeaderLimit);
+  parser_->body_limit(std::numeric_limits<uint64_t>::max());
+  parser_->skip(head_request_);
+}
+
 std::optional<uint64_t> HttpConnection::content_length() const {
   const boost::optional<uint64_t> length = parser_->content_length();
   return length ? std::optional<uint64_t>(*length) : std::nullopt;
--- a/testing/integration/promise_test_fleet.cc
+++ b/testing/integration/promise_test_fleet.cc
@@ -89,6 +89,39 @@
   CHECK(served > 0);
 }
 
+// Guards against a response that is lost because an earlier one was written
+// once more before it.
+TEST_CASE("the response after an earlier one reaches its caller") {
+  constexpr int kRequests = 20;
+  std::mutex mutex;
+  std::map<int, std::string> earlier;
+  RawTarget target([&](const RawRequest& request) {
+    const std::lock_guard<std::mutex> lock(mutex);
+    std::string& last = earlier[request.connection];
+    const std::string response = Success(request.id);
+    const std::string bytes = last + response;
+    last = response;
+    return bytes;
+  });
+  PlatformStandIn fleet(kInstances);
+  REQUIRE(fleet.AwaitReady(kStartLimit));
+  fleet.OnLoop([&]() {
+    fleet.RemoveTargets();
+    fleet.ListOther("i-raw", target.address(), 0, 1);
+  });
+  std::this_thread::sleep_for(kListTime);
+  for (int i = 0; i < kRequests; ++i) {
+    const std::string id = fmt::format("next-{}", i);
+    const Result<HttpReply> reply =
+        fleet.Send(i % kInstances, id, http::verb::post, "/unsafe/1");
+    REQUIRE(reply);
+    CAPTURE(id, reply.value().status);
+    CHECK(reply.value().body == "ran " + id);
+  }
+  const std::lock_guard<std::mutex> lock(mutex);
+  CHECK(earlier.size() < kRequests);
+}
+
 // What one target does at random, in parts of all requests.
 struct Faults {
   double refuses = 0.2;
