--- a/testing/compatibility/messages_test.cc
+++ b/testing/compatibility/messages_test.cc
@@ -1,6 +1,6 @@
-// Messages and stored objects as builds that have been in production write them:
-// this build understands them, and those understand this one's, because fields
-// are only appended. Run with "[.write]", it prints those of this build.
+// Messages and stored objects as builds that have been in production write
+// them: this build understands them, and those understand this one's, because
+// fields are only appended. Run with "[.write]", it prints those of this build.
 
 #include <fmt/format.h>
 #include <sodium.h>
