Make the seeded case of promises find the former fault

Six targets instead of twelve, copies before nine of ten responses, and former names that stay listed for 2 s: so a retry often chooses the new name at the address where the old one was refused.

--- a/testing/integration/promise_test_fleet.cc
+++ b/testing/integration/promise_test_fleet.cc
@@ -125,7 +125,7 @@
 // What one target does at random, in parts of all requests.
 struct Faults {
   double refuses = 0.2;
-  double repeats = 0.5;  // of the responses that follow another one
+  double repeats = 0.9;  // of the responses that follow another one
   double cuts = 0.02;
 };
 
@@ -289,11 +289,13 @@
 // that fail in all the ways that the platform allows at once.
 TEST_CASE("what is refused with a promise never runs while much goes wrong") {
   constexpr int kEntries = 6;
-  constexpr int kTargets = 12;
+  constexpr int kTargets = 6;
   constexpr int kCallers = 24;
   constexpr int kSlots = 4;
-  constexpr Milliseconds kPlay{12'000};
-  constexpr Milliseconds kStep{250};
+  constexpr Milliseconds kPlay{20'000};
+  constexpr Milliseconds kStep{200};
+  // Time for which a former name stays listed.
+  constexpr Milliseconds kListedOn{2'000};
   // Requests that are still on their way run until then.
   constexpr Milliseconds kRouteTimeout{3'000};
   const int seed = GENERATE(range(1, SeedCount() + 1));
@@ -328,7 +330,7 @@
     const int place = static_cast<int>(random() % kTargets);
     const std::string old = targets[place]->name();
     targets[place]->StartAgain();
-    former.emplace(Clock::now() + Milliseconds(random() % 1'500), old);
+    former.emplace(Clock::now() + kListedOn, old);
     fleet.OnLoop([&]() {
       fleet.ListOther(targets[place]->name(), targets[place]->address(), place,
                       kSlots);
