Give pacing over a link a class, and the table of ends its errors

FailureOf reads the error from the table. A refusal whose body breaks off is an altered one, 502 (504 before, where time ran out). The line event=hop named two instances with one key: the upstream is now "to".

--- a/src/delivery/internal/attempt_end.cc
+++ b/src/delivery/internal/attempt_end.cc
@@ -17,43 +17,49 @@
   AttemptEnd end;
   std::string_view name;
   Verdict verdict;
+  Errc errc;
   std::string_view detail;
 };
 
 constexpr std::array kEnds = {
     EndRow{AttemptEnd::kNotSent, "not_sent", Verdict::kNotRun,
-           "the request was not sent"},
+           Errc::kTargetBroken, "the request was not sent"},
     EndRow{AttemptEnd::kNoResponse, "no_response", Verdict::kMayHaveRun,
-           "no response arrived"},
+           Errc::kTargetBroken, "no response arrived"},
     EndRow{AttemptEnd::kForeignResponse, "foreign_response",
-           Verdict::kMayHaveRun, "the response belongs to another request"},
+           Verdict::kMayHaveRun, Errc::kTargetBroken,
+           "the response belongs to another request"},
     EndRow{AttemptEnd::kStatedNotRun, "stated_not_run", Verdict::kNotRun,
-           "the target is shedding load"},
+           Errc::kTargetShed, "the target is shedding load"},
     EndRow{AttemptEnd::kMisdirected, "misdirected", Verdict::kNotRun,
-           "another target is using the address"},
+           Errc::kTargetMoved, "another target is using the address"},
     EndRow{AttemptEnd::kUnstatedRefusal, "unstated_refusal",
-           Verdict::kMayHaveRun,
+           Verdict::kMayHaveRun, Errc::kTargetBroken,
            "the response's status promises that nothing was run, but the "
            "target does not state it"},
     EndRow{AttemptEnd::kContradiction, "contradiction", Verdict::kMayHaveRun,
+           Errc::kTargetBroken,
            "the response is a success that states that nothing was run"},
     EndRow{AttemptEnd::kUnsigned, "unsigned", Verdict::kMayHaveRun,
-           "the response has no valid target signature"},
+           Errc::kTargetBroken, "the response has no valid target signature"},
     EndRow{AttemptEnd::kUnframed, "unframed", Verdict::kRan,
+           Errc::kTargetBroken,
            "the response has neither a length nor chunked framing"},
     EndRow{AttemptEnd::kRefusedNotRun, "refused_not_run", Verdict::kNotRun,
-           "another instance refused the request"},
+           Errc::kTargetBroken, "another instance refused the request"},
     EndRow{AttemptEnd::kRefusedMayHaveRun, "refused_may_have_run",
-           Verdict::kMayHaveRun, "another instance refused the request"},
-    EndRow{AttemptEnd::kRefusedRan, "refused_ran", Verdict::kRan,
+           Verdict::kMayHaveRun, Errc::kTargetBroken,
            "another instance refused the request"},
+    EndRow{AttemptEnd::kRefusedRan, "refused_ran", Verdict::kRan,
+           Errc::kTargetBroken, "another instance refused the request"},
     EndRow{AttemptEnd::kAlteredRefusal, "altered_refusal", Verdict::kMayHaveRun,
-           "the refusal of another instance is altered"},
+           Errc::kTargetBroken, "the refusal of another instance is altered"},
     EndRow{AttemptEnd::kCutResponse, "cut_response", Verdict::kRan,
-           "the response was truncated"},
+           Errc::kTargetBroken, "the response was truncated"},
     EndRow{AttemptEnd::kAlteredResponse, "altered_response", Verdict::kRan,
-           "the response body does not match its digest"},
-    EndRow{AttemptEnd::kResponded, "responded", Verdict::kRan, ""},
+           Errc::kTargetBroken, "the response body does not match its digest"},
+    EndRow{AttemptEnd::kResponded, "responded", Verdict::kRan,
+           Errc::kTargetBroken, ""},
 };
 
 constexpr bool IsInOrder() {
@@ -87,13 +93,8 @@
 }
 
 Failure FailureOf(AttemptEnd end) {
-  Failure failure;
-  failure.errc = end == AttemptEnd::kStatedNotRun  ? Errc::kTargetShed
-                 : end == AttemptEnd::kMisdirected ? Errc::kTargetMoved
-                                                   : Errc::kTargetBroken;
-  failure.verdict = VerdictOf(end);
-  failure.detail = RowOf(end).detail;
-  return failure;
+  const EndRow& row = RowOf(end);
+  return {row.errc, row.verdict, std::string(row.detail), {}};
 }
 
 std::string_view AttemptEndName(AttemptEnd end) {
--- a/src/delivery/internal/attempt_end.h
+++ b/src/delivery/internal/attempt_end.h
@@ -48,8 +48,7 @@
 // Returns what an attempt that ended so says of its request.
 Verdict VerdictOf(AttemptEnd end);
 
-// Returns the failure of an attempt that ended so; of kind kTargetBroken unless
-// its end has a kind of its own.
+// Returns the failure of an attempt that ended so.
 Failure FailureOf(AttemptEnd end);
 
 // Returns the name used in logs: "not_sent", ...
--- a/src/delivery/internal/upstream_attempt.cc
+++ b/src/delivery/internal/upstream_attempt.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "budget/budgets.h"
 #include "delivery/internal/header_rules.h"
 #include "delivery/internal/link_estimate.h"
 #include "delivery/internal/request_body.h"
@@ -21,7 +20,7 @@
 namespace redwing {
 
 namespace {
-constexpr size_t kPiece = 16 * 1024;            // bytes
+constexpr size_t kPiece = LinkPacer::kPiece;
 constexpr size_t kMaxRefusalBytes = 64 * 1024;  // bytes
 // Longer bodies are streamed to other instances without a hash.
 constexpr uint64_t kMaxHashedBytes = 64 * 1024;  // bytes
@@ -60,11 +59,6 @@
   return FailureOf(end);
 }
 
-Failure UpstreamAttempt::EndAs(AttemptEnd end, const Failure& reason) {
-  trace_.end = end;
-  return reason;
-}
-
 Result<void> UpstreamAttempt::Exchange(RequestBody& body,
                                        HttpExchange& exchange,
                                        Cancellation& cancellation,
@@ -120,11 +114,10 @@
   // Each piece is sent over a link as soon as it is charged: if the charged
   // pieces waited, they could leave in a burst later.
   std::string_view buffered = body.buffered();
-  const size_t step = plan_.request_link.empty() ? buffered.size() : kPiece;
+  const size_t step = request_pacer_.active() ? kPiece : buffered.size();
   const std::string_view first = buffered.substr(0, step);
   buffered.remove_prefix(first.size());
-  if (!Pace(plan_.request_link, &plan_.request_prepaid, first.size(),
-            plan_.deadline, yield)) {
+  if (!request_pacer_.Pace(first.size(), plan_.deadline, yield)) {
     return NotRun(Errc::kLinkFull,
                   "the link has no capacity before the deadline",
                   Milliseconds(1000));
@@ -158,8 +151,7 @@
 Result<void> UpstreamAttempt::SendPiece(std::string_view piece,
                                         bool last,
                                         const Yield& yield) {
-  if (!Pace(plan_.request_link, &plan_.request_prepaid, piece.size(),
-            plan_.deadline, yield)) {
+  if (!request_pacer_.Pace(piece.size(), plan_.deadline, yield)) {
     connection_->Abort();
     return MayHaveRun(Errc::kTargetTimeout,
                       "the link has no capacity before the deadline");
@@ -321,7 +313,7 @@
     const Result<size_t> size =
         connection_->ReadBody(piece.data(), piece.size(), yield);
     if (!size) {
-      return EndAs(AttemptEnd::kAlteredRefusal, size.error());
+      return EndAs(AttemptEnd::kAlteredRefusal);
     }
     if (size.value() == 0) {
       break;
@@ -338,6 +330,7 @@
   }
   if (trace_.end == AttemptEnd::kAlteredRefusal) {
     connection_->Abort();
+    return FailureOf(trace_.end);
   }
   pool_.Release(plan_.endpoint, connection_);
   return failure;
@@ -435,9 +428,8 @@
       AbortResponse(exchange);
       return;
     }
-    const bool paced =
-        Pace(plan_.response_link, &plan_.response_prepaid,
-             piece.size() + std::exchange(uncharged_header, 0), end, yield);
+    const bool paced = response_pacer_.Pace(
+        piece.size() + std::exchange(uncharged_header, 0), end, yield);
     if (!paced) {
       connection_->Abort();
       exchange.Break();
@@ -493,28 +485,6 @@
   exchange.Break();
 }
 
-bool UpstreamAttempt::Pace(const std::string& link,
-                           double* prepaid,
-                           size_t bytes,
-                           TimePoint deadline,
-                           const Yield& yield) {
-  if (link.empty()) {
-    return true;
-  }
-  double left = static_cast<double>(bytes);
-  const double used = std::min(*prepaid, left);
-  *prepaid -= used;
-  left -= used;
-  while (left > 0) {
-    const double piece = std::min<double>(left, kPiece);
-    if (!budgets_.Pace(link, piece, deadline, yield)) {
-      return false;
-    }
-    left -= piece;
-  }
-  return true;
-}
-
 ResponseHeader UpstreamAttempt::CallerHeader() const {
   ResponseHeader header = connection_->response();
   RemoveHopByHopFields(&header);
--- a/src/delivery/internal/upstream_attempt.h
+++ b/src/delivery/internal/upstream_attempt.h
@@ -11,6 +11,7 @@
 #include "delivery/internal/attempt_end.h"
 #include "delivery/internal/hop_digest.h"
 #include "delivery/internal/idempotency_table.h"
+#include "delivery/internal/link_pacer.h"
 #include "framework/errors/result.h"
 #include "framework/http/connection_pool.h"
 #include "framework/http/content_digest.h"
@@ -80,10 +81,11 @@
                   const HeaderDialect& dialect,
                   AttemptPlan plan)
       : pool_(pool),
-        budgets_(budgets),
         metrics_(metrics),
         dialect_(dialect),
-        plan_(std::move(plan)) {}
+        plan_(std::move(plan)),
+        request_pacer_(budgets, plan_.request_link, plan_.request_prepaid),
+        response_pacer_(budgets, plan_.response_link, plan_.response_prepaid) {}
 
   // Runs the attempt, which ends early if it is cancelled. Success means that
   // the response was sent to the caller, complete or visibly aborted; or, with
@@ -133,8 +135,6 @@
   bool DiscardBody(const Yield& yield);
   // Records how the attempt ended and returns its failure.
   Failure EndAs(AttemptEnd end);
-  // The same, with the reason for which the connection failed.
-  Failure EndAs(AttemptEnd end, const Failure& reason);
   // Reads and discards the body of a response which states that nothing was
   // run. Closes the connection if the body is long or late, or if a copy of the
   // response could not be told from the next response.
@@ -165,20 +165,14 @@
   // Aborts a response that has begun, so that the caller detects that it is
   // truncated.
   void AbortResponse(HttpExchange& exchange);
-  // Waits until a link has capacity for the bytes that are not prepaid. Returns
-  // false if it has none before the deadline.
-  bool Pace(const std::string& link,
-            double* prepaid,
-            size_t bytes,
-            TimePoint deadline,
-            const Yield& yield);
   ResponseHeader CallerHeader() const;
 
   ConnectionPool& pool_;
-  Budgets& budgets_;
   Metrics& metrics_;
   const HeaderDialect& dialect_;
   AttemptPlan plan_;
+  LinkPacer request_pacer_;
+  LinkPacer response_pacer_;
   ConnectionPool::ConnectionPtr connection_;
   std::optional<StoredResponse> stored_response_;
   AttemptTrace trace_;
--- a/src/delivery/internal/upstream_sender.cc
+++ b/src/delivery/internal/upstream_sender.cc
@@ -234,7 +234,7 @@
                                           delivery.cancellation, yield);
   if (!result) {
     LogDecision(trail_, context.request_id,
-                fmt::format("event=hop request={} instance={} {} reason={}",
+                fmt::format("event=hop request={} to={} {} reason={}",
                             context.request_id, member.name,
                             Describe(result, attempt.trace(), begun),
                             Quoted(result.error().detail)));
