Let a request wait for its own target elsewhere when it may not run near

Cause, by a trace of the candidates of a refused request (trial, taken out again): "no target has a slot in time" while the bound on shifts allowed the other region only. There the key's own target was full for 2 to 25 ms of 400 that the request could wait, another one was free. A cold key waits in another region only where its own region has no target; the near targets counted although none of them could be used.

Change: near targets count if the request may use them. Without a wait the caller was refused with 20 ms to come back.

Ruled out: limits that had not ended (no candidate was limited), reports of full targets, shedding.

Measured: new unit test fails before. The case prints the last refusal now.

--- a/src/routing/candidate_choice.h
+++ b/src/routing/candidate_choice.h
@@ -56,10 +56,10 @@
 // those whose rate limit admits the request in time. A
 // request waits for the own target of the entry instance's region. It waits for
 // an own target elsewhere only if the key has visited it or the entry
-// instance's region has no target for it. It runs cold at another region's own
-// target, or at another target of the entry instance's region, only if a slot
-// is free there: under load, keys that change targets make those targets cold
-// and cost more slots than they gain.
+// instance's region has no target that it may use. It runs cold at another
+// region's own target, or at another target of the entry instance's region,
+// only if a slot is free there: under load, keys that change targets make those
+// targets cold and cost more slots than they gain.
 std::optional<size_t> ChooseCandidate(const ServiceTimes& times,
                                       double max_wait,
                                       std::vector<TargetCandidate>* candidates);
--- a/src/routing/internal/candidate_choice.cc
+++ b/src/routing/internal/candidate_choice.cc
@@ -56,8 +56,9 @@
       candidates->begin(), candidates->end(),
       [](const TargetCandidate& candidate) { return candidate.allowed; });
   const bool has_near = std::any_of(candidates->begin(), candidates->end(),
-                                    [](const TargetCandidate& candidate) {
-                                      return candidate.region == kNearRegion;
+                                    [bound](const TargetCandidate& candidate) {
+                                      return candidate.region == kNearRegion &&
+                                             (candidate.allowed || !bound);
                                     });
   const std::vector<size_t> own_targets = OwnTargets(*candidates, max_wait);
   std::optional<size_t> best;
--- a/src/routing/tests/candidate_choice_test.cc
+++ b/src/routing/tests/candidate_choice_test.cc
@@ -83,6 +83,16 @@
   CHECK(ChooseCandidate(Times(200, 640), 300, &candidates) == 1);
 }
 
+// Guards against refusals while the own target of the only region that the
+// request may use is full for a moment.
+TEST_CASE("a request that may not run near waits for its own target") {
+  std::vector<TargetCandidate> candidates = {Near(9, 0), Far(8, 3, 10),
+                                             Far(4, 0, 10)};
+  candidates[0].allowed = false;
+  CHECK(ChooseCandidate(Times(200, 640), 300, &candidates) == 1);
+  CHECK_FALSE(ChooseCandidate(Times(200, 640), 20, &candidates));
+}
+
 TEST_CASE("the round trip to another region counts against the wait") {
   std::vector<TargetCandidate> candidates = {Far(9, 3, 110)};
   CHECK(ChooseCandidate(Times(200, 640), 200, &candidates) == 0);
--- a/testing/integration/target_limit_test_fleet.cc
+++ b/testing/integration/target_limit_test_fleet.cc
@@ -109,7 +109,7 @@
   Load all(fleet, {0, 1, 2, 3}, "all-again");
   std::this_thread::sleep_for(std::chrono::seconds(2));
   all.Stop();
-  CAPTURE(all.answered(), all.last_failure());
+  CAPTURE(all.answered(), all.last_refusal(), all.last_failure());
   CHECK(all.refused() == 0);
   CHECK(all.failed() == 0);
 }
