Lint a source again only when one of its inputs has changed

Change: tools/lint keeps, in the user's cache, a key for each source that passed: hash of its text, of all headers that it includes (as the build knows them), of its compile command with paths relative to the root, of .clang-tidy and of clang-tidy's version. A fresh machine checks all sources, as before; so does any change of a header for the sources that include it. Sources that the build does not know are always checked.

Same checks, same sources.

--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 	git ls-files '*.cc' '*.h' | xargs clang-format --dry-run --Werror
 
 lint: build
-	git ls-files 'src/*.cc' 'apps/*.cc' 'platform/*.cc' 'testing/*.cc' | xargs -P $(JOBS) -n 4 clang-tidy -p $(BUILD) --quiet
+	tools/lint $(BUILD) $(JOBS)
 
 fuzz:
 	cmake -S . -B $(BUILD)-sanitize -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache -DREDWING_SANITIZE=ON
