Tell no caller "not run" for a key whose owner was replaced

Seen: a caller posts with a key, the request runs, the key's owner ends and starts again. Another instance that still knows the former process forwards a repeat to the new one, which answers 503 peer_unreachable, "not_run"; a moment later the same repeat gets 409 idempotency_outcome_unknown. A caller that believes the first one sends the work under another key.

Cause: a hop to a replaced process is refused as not run, which is true of the hop; of a key only the former process knows. An owner that is gone was already told as may_have_run. A new process that has no configuration yet said not_run before it looked at the addressee at all.

Change: a hop to the owner of a key that reaches another process fails with idempotency_outcome_unknown, may_have_run; the addressee is checked first.

--- a/src/delivery/internal/hop_token.cc
+++ b/src/delivery/internal/hop_token.cc
@@ -64,6 +64,10 @@
                             const std::string& process_id,
                             std::string_view method,
                             std::string_view target) {
+  if (token.to_process != process_id && token.owner_hop) {
+    return MayHaveRun(Errc::kIdempotencyOutcomeUnknown,
+                      "the process that the key is bound to has been replaced");
+  }
   if (token.to_process != process_id) {
     return NotRun(
         Errc::kPeerUnreachable,
--- a/src/delivery/internal/hop_token.h
+++ b/src/delivery/internal/hop_token.h
@@ -71,7 +71,8 @@
 // Checks that a token is for the given process and request. Fails with
 // kPeerUnreachable, kNotRun if the addressed process has been replaced or the
 // hop was misrouted; neither is the caller's error, and another candidate may
-// succeed.
+// succeed. A hop to a replaced process as the owner of a key fails with
+// kIdempotencyOutcomeUnknown, kMayHaveRun: what the key did is not known here.
 Result<void> CheckAddressee(const HopToken& token,
                             const std::string& process_id,
                             std::string_view method,
--- a/src/delivery/internal/request_admitter.cc
+++ b/src/delivery/internal/request_admitter.cc
@@ -56,6 +56,12 @@
 Result<RequestContext> RequestAdmitter::Admit(const HttpExchange& exchange,
                                               Addressing addressing,
                                               double point) const {
+  const bool by_host = addressing == Addressing::kByHost;
+  const bool hop = !by_host && !exchange.Header(kHopField).empty();
+  const Result<HopToken> token = hop ? ReadHop(exchange) : HopToken();
+  if (!token) {
+    return token.error();
+  }
   if (!config_->ready()) {
     return NotRun(Errc::kNotReady, "this instance has no configuration yet",
                   Milliseconds(1000));
@@ -67,19 +73,12 @@
   RequestContext context;
   context.document = config_->document();
   context.begun = Clock::now();
-  const bool by_host = addressing == Addressing::kByHost;
-  const bool hop = !by_host && !exchange.Header(kHopField).empty();
   // The server accepts longer heads of forwarded requests.
   const size_t head_limit = context.document->caller_limits().header_bytes;
   if (!hop && exchange.head_bytes() > head_limit) {
     return NotRun(Errc::kHeaderTooLarge,
                   fmt::format("the request head exceeds {} bytes", head_limit));
   }
-  const Result<HopToken> token =
-      hop ? signer_.Verify(exchange.Header(kHopField)) : HopToken();
-  if (!token) {
-    return token.error();
-  }
   const Result<void> routed =
       by_host ? FindHostRoute(exchange, point, &context)
       : !token.value().host_route.empty()
@@ -289,14 +288,23 @@
   return boost::outcome_v2::success();
 }
 
+Result<HopToken> RequestAdmitter::ReadHop(const HttpExchange& exchange) const {
+  const Result<HopToken> token = signer_.Verify(exchange.Header(kHopField));
+  if (!token) {
+    return token.error();
+  }
+  const Result<void> addressed =
+      CheckAddressee(token.value(), identity_->process_id, exchange.method(),
+                     exchange.target());
+  if (!addressed) {
+    return addressed.error();
+  }
+  return token;
+}
+
 Result<void> RequestAdmitter::CheckHop(const HttpExchange& exchange,
                                        const HopToken& token,
                                        RequestContext* context) const {
-  const Result<void> addressed = CheckAddressee(
-      token, identity_->process_id, exchange.method(), exchange.target());
-  if (!addressed) {
-    return addressed;
-  }
   const size_t question = exchange.target().find('?');
   if (question != std::string_view::npos && token.host_route.empty()) {
     context->target += exchange.target().substr(question);
--- a/src/delivery/internal/request_admitter.h
+++ b/src/delivery/internal/request_admitter.h
@@ -69,6 +69,9 @@
   Result<void> CheckKey(const std::string& key, RequestContext* context) const;
   std::string RequestIdOf(const HttpExchange& exchange,
                           const std::string& key) const;
+  // Reads the hop token of a forwarded request that is addressed to this
+  // process.
+  Result<HopToken> ReadHop(const HttpExchange& exchange) const;
   Result<void> CheckHop(const HttpExchange& exchange,
                         const HopToken& token,
                         RequestContext* context) const;
--- a/src/delivery/tests/hop_token_test.cc
+++ b/src/delivery/tests/hop_token_test.cc
@@ -41,6 +41,20 @@
   CHECK(ErrcHttpStatus(astray.error().errc) == 503);
 }
 
+// Guards against "not run" for a key of which only the former process knows.
+TEST_CASE("a hop for the replaced owner of a key says that it may have run") {
+  HopToken token;
+  token.to_process = "former";
+  token.request_line = "GET /v1/services/svc/";
+  token.owner_hop = true;
+  CHECK(CheckAddressee(token, "former", "GET", kTarget));
+  const Result<void> replaced =
+      CheckAddressee(token, "present", "GET", kTarget);
+  REQUIRE_FALSE(replaced);
+  CHECK(replaced.error().verdict == Verdict::kMayHaveRun);
+  CHECK(ErrcHttpStatus(replaced.error().errc) == 409);
+}
+
 // Guards against an instance that runs a request again because its version of
 // the route allows it and that of the caller's instance does not.
 TEST_CASE("a request that runs once does so wherever it is forwarded") {
--- a/testing/integration/delivery_test_fleet.cc
+++ b/testing/integration/delivery_test_fleet.cc
@@ -1,8 +1,12 @@
 // No request is lost, doubled or cut; "not run" is true; what must run once
 // runs at most once. Callers' answers are joined with what targets ran.
 
+#include <fmt/format.h>
+
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <map>
 #include <thread>
 
 #include "framework/settings/endpoint.h"
@@ -211,6 +215,62 @@
   }
 }
 
+// Guards against "not run" for a key of which only a former process of the
+// instance knows that it ran.
+TEST_CASE("a key of a replaced process is never told not run") {
+  constexpr Milliseconds kWatched{4'000};
+  constexpr Milliseconds kPause{5};
+  Fleet fleet(SmallPlan(2, 2, kRate, kBurst));
+  fleet.Start();
+  const std::string key = fleet.IssueKey("alpha");
+  FleetEntry& owner = fleet.entries()[0];
+  const std::string other = fleet.entries()[3].http_address;
+  const json lookup =
+      CallJson(http::verb::get, owner.http_address, "/v1/entry?service=svc");
+  std::string token;
+  for (const json& entry : lookup.at("entries")) {
+    if (entry.at("address") == owner.http_address) {
+      token = entry.at("idempotency_prefix").get<std::string>() + "-replaced";
+    }
+  }
+  const auto post = [&]() {
+    HttpCall call;
+    call.endpoint = TcpEndpoint(other);
+    call.method = http::verb::post;
+    call.target = "/v1/services/svc/x";
+    call.headers = {{"Authorization", "Bearer " + key},
+                    {"Idempotency-Key", token},
+                    {"X-Token", token}};
+    return CallSync(call);
+  };
+  REQUIRE(post().value().status == 200);
+  std::map<std::string, int> told;
+  std::atomic<bool> stopped = false;
+  std::thread caller([&]() {
+    while (!stopped) {
+      const Result<HttpReply> reply = post();
+      ++told[reply ? fmt::format("{} {}", reply.value().status,
+                                 reply.value().body)
+                   : "no answer"];
+      std::this_thread::sleep_for(kPause);
+    }
+  });
+  owner.process->Kill();
+  fleet.StartEntry(owner);
+  std::this_thread::sleep_for(kWatched);
+  stopped = true;
+  caller.join();
+  for (const auto& [answer, count] : told) {
+    CAPTURE(answer, count);
+    CHECK(answer.find("\"not_run\"") == std::string::npos);
+  }
+  int runs = 0;
+  for (const json& run : fleet.Runs()) {
+    runs += run.at(2) == token ? 1 : 0;
+  }
+  CHECK(runs == 1);
+}
+
 // Guards against a request with a key that its owner forwards and that comes
 // back to the owner, which takes it for a repeat.
 TEST_CASE("a request with a key is answered by targets of another region") {
