Play callers that return under their id, and a route whose kind changes

For each request the instance of its caller logs the manifest's revision, from which the test knows whether the promise binds.

Callers whose answers are kept moved to a header of their own; a copy of PromisesNotRun is gone.

--- a/testing/integration/promise_test_fleet.cc
+++ b/testing/integration/promise_test_fleet.cc
@@ -3,7 +3,6 @@
 
 #include <fmt/format.h>
 
-#include <atomic>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <iostream>
@@ -11,11 +10,15 @@
 #include <memory>
 #include <mutex>
 #include <random>
+#include <set>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "framework/http/refusal.h"
 #include "testing/integration/platform_load.h"
+#include "testing/integration/recorded_callers.h"
 #include "testing/platform_stand_in/platform_stand_in.h"
 #include "testing/platform_stand_in/raw_target.h"
 
@@ -25,13 +28,10 @@
 constexpr int kInstances = 2;
 constexpr Milliseconds kStartLimit{15'000};
 constexpr Milliseconds kListTime{2'500};
+// For so long a target that has refused a request gets few others.
+constexpr Milliseconds kShedTime{100};
 constexpr std::string_view kNotRun = "X-Redwingcart-Not-Executed: 1\r\n";
 
-// Whether callers take a status for a promise that nothing was run.
-bool Promises(unsigned status) {
-  return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 std::string Refusal(int status, const std::string& id) {
   return RawTarget::Head(status, id,
                          fmt::format("{}Content-Length: 0\r\n", kNotRun));
@@ -83,12 +83,56 @@
     REQUIRE(reply);
     const std::lock_guard<std::mutex> lock(mutex);
     CAPTURE(id, reply.value().status, reply.value().body);
-    CHECK((!Promises(reply.value().status) || runs[id] == 0));
+    CHECK((!PromisesNotRun(reply.value().status) || runs[id] == 0));
     served += reply.value().status == 200 ? 1 : 0;
   }
   CHECK(served > 0);
 }
 
+// Guards against an old refusal that is taken for the response to a request
+// which its caller sends again under the same id.
+TEST_CASE("a caller that returns under its id is not told its first refusal") {
+  constexpr int kRequests = 20;
+  std::mutex mutex;
+  std::map<std::string, int> sends;
+  std::map<std::string, int> runs;
+  std::map<int, std::string> refusals;
+  RawTarget target([&](const RawRequest& request) {
+    const std::lock_guard<std::mutex> lock(mutex);
+    std::string& refusal = refusals[request.connection];
+    if (++sends[request.id] == 1) {
+      refusal = Refusal(503, request.id);
+      return refusal;
+    }
+    ++runs[request.id];
+    return refusal + Success(request.id);
+  });
+  PlatformStandIn fleet(kInstances);
+  REQUIRE(fleet.AwaitReady(kStartLimit));
+  fleet.OnLoop([&]() {
+    fleet.RemoveTargets();
+    fleet.ListOther("i-raw", target.address(), 0, 1);
+  });
+  std::this_thread::sleep_for(kListTime);
+  int served = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    const std::string id = fmt::format("returns-{}", i);
+    unsigned status = 503;
+    for (int tries = 0; tries < 3 && PromisesNotRun(status); ++tries) {
+      const Result<HttpReply> reply =
+          fleet.Send(i % kInstances, id, http::verb::post, "/unsafe/1");
+      REQUIRE(reply);
+      status = reply.value().status;
+      const std::lock_guard<std::mutex> lock(mutex);
+      CAPTURE(id, tries, status, reply.value().body);
+      CHECK((!PromisesNotRun(status) || runs[id] == 0));
+      std::this_thread::sleep_for(kShedTime);
+    }
+    served += status == 200 ? 1 : 0;
+  }
+  CHECK(served > 0);
+}
+
 // Guards against a response that is lost because an earlier one was written
 // once more before it.
 TEST_CASE("the response after an earlier one reaches its caller") {
@@ -217,56 +261,6 @@
   RawTarget target_;
 };
 
-// What a caller was told of a request.
-struct Told {
-  std::string id;
-  bool runs_once = false;
-  // 0: the connection ended without an answer.
-  unsigned status = 0;
-  std::string body;
-};
-
-// Callers of all instances, whose answers are kept.
-class Callers {
- public:
-  Callers(PlatformStandIn& fleet, int instances, int callers) {
-    for (int caller = 0; caller < callers; ++caller) {
-      threads_.emplace_back([this, &fleet, instances, caller]() {
-        for (int i = 0; !stopped_; ++i) {
-          const bool runs_once = i % 3 != 0;
-          const std::string id = fmt::format("k-{}-{}", caller, i);
-          const Result<HttpReply> reply =
-              fleet.Send((caller + i) % instances, id,
-                         runs_once ? http::verb::post : http::verb::get,
-                         runs_once ? "/unsafe/1" : "/safe/1");
-          const std::lock_guard<std::mutex> lock(mutex_);
-          told_.push_back({id, runs_once, reply ? reply.value().status : 0,
-                           reply ? reply.value().body : ""});
-        }
-      });
-    }
-  }
-  ~Callers() { Stop(); }
-  Callers(const Callers&) = delete;
-  Callers& operator=(const Callers&) = delete;
-
-  const std::vector<Told>& Stop() {
-    stopped_ = true;
-    for (std::thread& thread : threads_) {
-      if (thread.joinable()) {
-        thread.join();
-      }
-    }
-    return told_;
-  }
-
- private:
-  std::atomic<bool> stopped_ = false;
-  std::mutex mutex_;
-  std::vector<Told> told_;
-  std::vector<std::thread> threads_;
-};
-
 // The lines of all instances' logs on a request.
 std::string LogOf(const PlatformStandIn& fleet,
                   int instances,
@@ -285,6 +279,102 @@
   return lines;
 }
 
+// Returns the value of a field of a log line; empty if it has none.
+std::string FieldOf(const std::string& line, const std::string& name) {
+  const std::string mark = fmt::format(" {}=", name);
+  const size_t begin = line.find(mark);
+  return begin == std::string::npos
+             ? ""
+             : line.substr(begin + mark.size(),
+                           line.find(' ', begin + 1) - begin - mark.size());
+}
+
+// The manifest's revision by which the instance of its caller handled each
+// request, by id, as the instances' logs tell it.
+std::map<std::string, uint64_t> RevisionsByRequest(const PlatformStandIn& fleet,
+                                                   int instances) {
+  std::map<std::string, uint64_t> revisions;
+  for (int i = 0; i < instances; ++i) {
+    std::istringstream log(fleet.LogOf(i));
+    std::string line;
+    while (std::getline(log, line)) {
+      const std::string revision = FieldOf(line, "document");
+      if (!revision.empty() && FieldOf(line, "from") == "caller") {
+        revisions[FieldOf(line, "request")] = std::stoull(revision);
+      }
+    }
+  }
+  return revisions;
+}
+
+// Guards against a status that is relayed as a promise because the instance
+// at the target holds another version of the route than that of the caller.
+TEST_CASE("a route whose kind changes under load keeps its promises") {
+  constexpr int kCallers = 16;
+  constexpr int kChanges = 40;
+  constexpr Milliseconds kBetweenChanges{150};
+  // Requests that are still on their way run until then.
+  constexpr Milliseconds kRouteTimeout{3'000};
+  std::mutex mutex;
+  std::map<std::string, int> runs;
+  // Runs each request; every other one ends with 503 and states nothing.
+  const auto respond = [&](const RawRequest& request) {
+    const std::lock_guard<std::mutex> lock(mutex);
+    ++runs[request.id];
+    return std::hash<std::string>()(request.id) % 2 == 0
+               ? Success(request.id)
+               : RawTarget::Head(503, request.id, "Content-Length: 0\r\n");
+  };
+  RawTarget first(respond);
+  RawTarget second(respond);
+  PlatformStandIn fleet(kInstances);
+  REQUIRE(fleet.AwaitReady(kStartLimit));
+  fleet.OnLoop([&]() {
+    fleet.RemoveTargets();
+    fleet.ListOther("i-first", first.address(), 0, kCallers);
+    fleet.ListOther("i-second", second.address(), 1, kCallers);
+  });
+  std::this_thread::sleep_for(kListTime);
+  // Revisions of the manifest by which the route's requests run once.
+  std::set<uint64_t> once;
+  RecordedCallers callers(fleet, kInstances, kCallers);
+  for (int change = 0; change < kChanges; ++change) {
+    const bool runs_once = change % 2 == 0;
+    nlohmann::json manifest = PlatformStandIn::Manifest(100 + change);
+    manifest["routes"]["rows"][1][3] = runs_once ? "unsafe" : "safe";
+    fleet.OnLoop([&]() {
+      const uint64_t revision = fleet.store().Put("config", "main", manifest);
+      if (runs_once) {
+        once.insert(revision);
+      }
+    });
+    std::this_thread::sleep_for(kBetweenChanges);
+  }
+  const std::vector<Told>& told = callers.Stop();
+  std::this_thread::sleep_for(kRouteTimeout);
+  const std::map<std::string, uint64_t> revisions =
+      RevisionsByRequest(fleet, kInstances);
+  int bound = 0;
+  for (const Told& answer : told) {
+    const auto revision = revisions.find(answer.id);
+    if (!answer.posted || revision == revisions.end() ||
+        once.count(revision->second) == 0) {
+      continue;
+    }
+    ++bound;
+    const std::lock_guard<std::mutex> lock(mutex);
+    const bool kept = !PromisesNotRun(answer.status) || runs[answer.id] == 0;
+    if (!kept || runs[answer.id] > 1) {
+      CAPTURE(answer.id, answer.status, answer.body, runs[answer.id],
+              LogOf(fleet, kInstances, answer.id));
+      CHECK(kept);
+      CHECK(runs[answer.id] <= 1);
+    }
+  }
+  CAPTURE(told.size());
+  CHECK(bound > 100);
+}
+
 // Guards against promises for requests that run, under targets and instances
 // that fail in all the ways that the platform allows at once.
 TEST_CASE("what is refused with a promise never runs while much goes wrong") {
@@ -316,7 +406,7 @@
     }
   });
   std::this_thread::sleep_for(kListTime);
-  Callers callers(fleet, kEntries, kCallers);
+  RecordedCallers callers(fleet, kEntries, kCallers);
   const TimePoint end = Clock::now() + kPlay;
   // Former names that are still listed, and when they are removed.
   std::multimap<TimePoint, std::string> former;
@@ -363,8 +453,8 @@
   for (const Told& answer : told) {
     const int runs = counter.Of(answer.id);
     const bool kept =
-        !answer.runs_once || !Promises(answer.status) || runs == 0;
-    const bool once = !answer.runs_once || runs <= 1;
+        !answer.posted || !PromisesNotRun(answer.status) || runs == 0;
+    const bool once = !answer.posted || runs <= 1;
     const bool own = answer.status != 200 || answer.body == "ran " + answer.id;
     ++statuses[answer.status];
     served += answer.status == 200 ? 1 : 0;
