--- a/testing/integration/promise_test_fleet.cc
+++ b/testing/integration/promise_test_fleet.cc
@@ -310,7 +310,8 @@
 // Guards against a status that is relayed as a promise because the instance
 // at the target holds another version of the route than that of the caller.
 TEST_CASE("a route whose kind changes under load keeps its promises") {
-  constexpr int kCallers = 16;
+  constexpr int kEntries = 6;
+  constexpr int kCallers = 24;
   constexpr int kChanges = 40;
   constexpr Milliseconds kBetweenChanges{150};
   // Requests that are still on their way run until then.
@@ -327,7 +328,7 @@
   };
   RawTarget first(respond);
   RawTarget second(respond);
-  PlatformStandIn fleet(kInstances);
+  PlatformStandIn fleet(kEntries);
   REQUIRE(fleet.AwaitReady(kStartLimit));
   fleet.OnLoop([&]() {
     fleet.RemoveTargets();
@@ -337,11 +338,14 @@
   std::this_thread::sleep_for(kListTime);
   // Revisions of the manifest by which the route's requests run once.
   std::set<uint64_t> once;
-  RecordedCallers callers(fleet, kInstances, kCallers);
+  RecordedCallers callers(fleet, kEntries, kCallers);
   for (int change = 0; change < kChanges; ++change) {
     const bool runs_once = change % 2 == 0;
     nlohmann::json manifest = PlatformStandIn::Manifest(100 + change);
     manifest["routes"]["rows"][1][3] = runs_once ? "unsafe" : "safe";
+    // An instance that learns of the change late, with requests that wait.
+    const int late = change % kEntries;
+    fleet.instance(late).Signal(SIGSTOP);
     fleet.OnLoop([&]() {
       const uint64_t revision = fleet.store().Put("config", "main", manifest);
       if (runs_once) {
@@ -349,11 +353,12 @@
       }
     });
     std::this_thread::sleep_for(kBetweenChanges);
+    fleet.instance(late).Signal(SIGCONT);
   }
   const std::vector<Told>& told = callers.Stop();
   std::this_thread::sleep_for(kRouteTimeout);
   const std::map<std::string, uint64_t> revisions =
-      RevisionsByRequest(fleet, kInstances);
+      RevisionsByRequest(fleet, kEntries);
   int bound = 0;
   for (const Told& answer : told) {
     const auto revision = revisions.find(answer.id);
@@ -366,7 +371,7 @@
     const bool kept = !PromisesNotRun(answer.status) || runs[answer.id] == 0;
     if (!kept || runs[answer.id] > 1) {
       CAPTURE(answer.id, answer.status, answer.body, runs[answer.id],
-              LogOf(fleet, kInstances, answer.id));
+              LogOf(fleet, kEntries, answer.id));
       CHECK(kept);
       CHECK(runs[answer.id] <= 1);
     }
