--- a/testing/integration/stranded_test_fleet.cc
+++ b/testing/integration/stranded_test_fleet.cc
@@ -57,7 +57,8 @@
   Load after(fleet, {0, 1, 2, 3}, "after");
   std::this_thread::sleep_for(std::chrono::seconds(2));
   after.Stop();
-  CAPTURE(after.answered(), after.refused(), after.last_failure());
+  CAPTURE(after.answered(), after.refused(), after.last_refusal(),
+          after.last_failure());
   CHECK(after.failed() == 0);
   CHECK(after.refused() == 0);
 }
