Keep the withdrawal from the paused instance in the test of its freshness

Change: a second part in which nothing reaches the instance: its region's other instance is gone and the region is cut off before the key is withdrawn. Only the age of its state tells it then.

--- a/testing/integration/config_test_fleet.cc
+++ b/testing/integration/config_test_fleet.cc
@@ -252,10 +252,17 @@
 }
 
 TEST_CASE("after a pause nothing is served on the old state") {
+  // Whether the withdrawal can reach the paused instance at all: without it
+  // only the age of its state tells.
+  const bool hears = GENERATE(true, false);
+  CAPTURE(hears);
   Fleet fleet(SmallPlan(kRegions, 2, kRate, kBurst));
   fleet.Start();
   const std::string key = fleet.IssueKey("alpha");
   FleetEntry& paused = fleet.entry("entry-r2-1");
+  if (!hears) {
+    fleet.KillEntry(fleet.entry("entry-r2-2"));
+  }
   json settings = Load(key, 9000);
   settings["entries"] = {paused.http_address};
   settings["direct"] = true;
@@ -266,6 +273,9 @@
   std::this_thread::sleep_for(Milliseconds(2000));
   REQUIRE(!fleet.Runs().empty());
   paused.process->Signal(SIGSTOP);
+  if (!hears) {
+    fleet.SetRulesAround(2, {{"cut", true}});
+  }
   std::this_thread::sleep_for(Milliseconds(500));
   Withdraw(fleet, key);
   std::this_thread::sleep_for(Milliseconds(4000));
