--- a/src/load/internal/load_generator.cc
+++ b/src/load/internal/load_generator.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "delivery/header_dialect.h"
 #include "framework/http/refusal.h"
 #include "framework/kernel/sleep.h"
 #include "framework/kernel/spawn.h"
@@ -112,8 +113,14 @@
     if (arrival.request->keyed && idempotency_key.empty()) {
       idempotency_key = entry.prefix + "-" + arrival.token;
     }
-    const bool again = Try(arrival, entry, idempotency_key, &end, yield);
+    const std::string request_id = fmt::format("{}-{}", arrival.token, attempt);
+    const bool again =
+        Try(arrival, entry, request_id, idempotency_key, &end, yield);
     may_have_run = may_have_run || end.verdict != Verdict::kNotRun;
+    if (!end.ok) {
+      end.last_failed = {request_id, end.error, end.verdict};
+      end.first_failed = end.first_failed.value_or(*end.last_failed);
+    }
     if (!again) {
       break;
     }
@@ -166,6 +173,7 @@
 
 bool LoadGenerator::Try(const Arrival& arrival,
                         const Entry& entry,
+                        const std::string& request_id,
                         const std::string& idempotency_key,
                         RequestEnd* end,
                         const Yield& yield) {
@@ -181,9 +189,9 @@
   }
   const ConnectionPool::ConnectionPtr& connection = acquired.value();
   const std::string body(arrival.request->body_bytes, 'q');
-  Result<void> result =
-      connection->BeginRequest(HeaderOf(arrival, entry, idempotency_key),
-                               body.data(), body.size(), true, yield);
+  Result<void> result = connection->BeginRequest(
+      HeaderOf(arrival, entry, request_id, idempotency_key), body.data(),
+      body.size(), true, yield);
   if (result) {
     result = connection->ReadHeader(yield);
   }
@@ -226,6 +234,7 @@
 RequestHeader LoadGenerator::HeaderOf(
     const Arrival& arrival,
     const Entry& entry,
+    const std::string& request_id,
     const std::string& idempotency_key) const {
   const LoadRequest& request = *arrival.request;
   const CallerGroup& group = plan_.groups[arrival.group];
@@ -245,6 +254,7 @@
     header.set(http::field::authorization, "Bearer " + group.key);
   }
   header.set("X-Token", arrival.token);
+  header.set(BeastView(HeaderDialect().request_id), request_id);
   if (!idempotency_key.empty()) {
     header.set("Idempotency-Key", idempotency_key);
   }
--- a/src/load/internal/load_report.cc
+++ b/src/load/internal/load_report.cc
@@ -21,6 +21,15 @@
   return sorted[index];
 }
 
+std::string ErrorText(const std::string& error, Verdict verdict) {
+  return fmt::format("{}/{}", error, VerdictName(verdict));
+}
+
+json DescribeTry(const FailedTry& failed) {
+  return {{"request", failed.request_id},
+          {"error", ErrorText(failed.error, failed.verdict)}};
+}
+
 }  // namespace
 
 void LoadReport::Join(const json& runs) {
@@ -42,7 +51,7 @@
     doubled += is_doubled ? 1 : 0;
     lost += is_lost ? 1 : 0;
     false_not_run += is_false ? 1 : 0;
-    if ((is_doubled || is_lost || is_false) && examples.size() < 10) {
+    if ((is_doubled || is_lost || is_false) && examples.size() < kMaxExamples) {
       examples.push_back(
           {end.token, end.error, VerdictName(end.verdict), count});
     }
@@ -65,7 +74,9 @@
   for (const RequestEnd& end : ends_) {
     groups.insert(end.group);
   }
-  json report = {{"all", Summary("")}, {"groups", json::object()}};
+  json report = {{"all", Summary("")},
+                 {"groups", json::object()},
+                 {"failed", FailedExamples()}};
   for (const std::string& group : groups) {
     report["groups"][group] = Summary(group);
   }
@@ -108,6 +119,23 @@
   return text;
 }
 
+json LoadReport::FailedExamples() const {
+  json failed = json::array();
+  for (const RequestEnd& end : ends_) {
+    if (end.ok || failed.size() >= kMaxExamples) {
+      continue;
+    }
+    json example = {{"token", end.token},
+                    {"error", ErrorText(end.error, end.verdict)}};
+    if (end.first_failed) {
+      example["first"] = DescribeTry(*end.first_failed);
+      example["last"] = DescribeTry(*end.last_failed);
+    }
+    failed.push_back(std::move(example));
+  }
+  return failed;
+}
+
 json LoadReport::Summary(const std::string& group) const {
   std::vector<double> latencies;
   std::map<std::string, int> errors;
@@ -121,7 +149,7 @@
     if (end.ok) {
       latencies.push_back(end.ended_ms - end.begun_ms);
     } else {
-      ++errors[end.error + "/" + std::string(VerdictName(end.verdict))];
+      ++errors[ErrorText(end.error, end.verdict)];
       ++verdicts[std::string(VerdictName(end.verdict))];
     }
   }
--- a/src/load/load_generator.h
+++ b/src/load/load_generator.h
@@ -52,11 +52,13 @@
   // Makes one try; sets the outcome. Returns whether another may be made.
   bool Try(const Arrival& arrival,
            const Entry& entry,
+           const std::string& request_id,
            const std::string& idempotency_key,
            RequestEnd* end,
            const Yield& yield);
   RequestHeader HeaderOf(const Arrival& arrival,
                          const Entry& entry,
+                         const std::string& request_id,
                          const std::string& idempotency_key) const;
   void CheckAnswer(const Arrival& arrival,
                    const ResponseHeader& header,
--- a/src/load/load_report.h
+++ b/src/load/load_report.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -10,6 +11,14 @@
 
 namespace redwing {
 
+// A try of a request that was not answered.
+struct FailedTry {
+  // Id that the try was sent with.
+  std::string request_id;
+  std::string error;
+  Verdict verdict = Verdict::kNotRun;
+};
+
 // How a request ended for its caller.
 struct RequestEnd {
   std::string group;
@@ -20,6 +29,9 @@
   std::string error;
   Verdict verdict = Verdict::kNotRun;
   bool once = false;
+  // First and last try that was not answered; the same if there was one.
+  std::optional<FailedTry> first_failed;
+  std::optional<FailedTry> last_failed;
   // Scheduled start and end, milliseconds since the run began.
   double begun_ms = 0;
   double ended_ms = 0;
@@ -37,7 +49,12 @@
   std::string Table() const;
 
  private:
+  // Upper bound on the requests of each list of examples.
+  static constexpr size_t kMaxExamples = 10;
+
   nlohmann::json Summary(const std::string& group) const;
+  // First requests that failed, with their tries.
+  nlohmann::json FailedExamples() const;
 
   std::vector<RequestEnd> ends_;
   bool joined_ = false;
--- a/testing/demo/demo.cc
+++ b/testing/demo/demo.cc
@@ -60,7 +60,7 @@
 int Run(int argc, char** argv) {
   CLI::App app(
       "Starts a fleet of the registry's size on loopback, sends it load, and "
-      "prints a report.");
+      "prints a report. Fails if a request was not answered.");
   AddCommonOptions(app);
   int seconds = kDefaultSeconds;
   double part = 0.5;
@@ -93,10 +93,14 @@
   }
   fmt::print("all: {}\njoined with the targets: {}\n", all.dump(),
              joined.dump());
+  for (const json& failed : report.at("failed")) {
+    fmt::print("failed: {}\n", failed.dump());
+  }
+  const bool answered = all.at("ok") == all.at("sent");
   const bool sound = joined.at("doubled") == 0 && joined.at("lost") == 0 &&
                      joined.at("false_not_run") == 0 &&
                      joined.at("keys_seen_by_targets") == 0;
-  return sound ? kExitOk : kExitFailed;
+  return sound && answered ? kExitOk : kExitFailed;
 }
 
 }  // namespace
