Escape names in the paths of problems

Cause: the path of a named object was put together as text, and read again as a JSON pointer.

Change: the name is appended to the pointer, which escapes it. The line of such a problem is found now as well.

--- a/src/framework/settings/internal/object_reader.cc
+++ b/src/framework/settings/internal/object_reader.cc
@@ -205,7 +205,8 @@
     return;
   }
   for (auto item = field->begin(); item != field->end(); ++item) {
-    ObjectReader reader(*item, fmt::format("{}/{}", At(name), item.key()),
+    ObjectReader reader(*item,
+                        (json::json_pointer(At(name)) / item.key()).to_string(),
                         problems_);
     read(item.key(), reader);
     reader.Finish();
--- a/src/framework/settings/tests/object_reader_test.cc
+++ b/src/framework/settings/tests/object_reader_test.cc
@@ -35,6 +35,22 @@
             .find("expected an address") != std::string::npos);
 }
 
+// Guards against an exception instead of a problem.
+TEST_CASE("names with characters of JSON pointers are escaped in paths") {
+  const JsonSource source =
+      JsonSource::Parse("{\"named\": {\n\"a~b/c\": {\"x\": 1}}}", "f.json")
+          .value();
+  Problems problems(source);
+  ObjectReader reader(source.root(), "", problems);
+  reader.NamedObjects("named",
+                      [](const std::string& /*name*/, ObjectReader& item) {
+                        item.Integer("x", 2, 3);
+                      });
+  CHECK(problems.Text() ==
+        "f.json:2: /named/a~0b~1c/x: expected a whole number from 2 to 3, "
+        "found 1");
+}
+
 TEST_CASE("texts that are not JSON, too deep or with a name twice fail") {
   CHECK(ProblemsOf("{\"a\": ").find("f.json: ") == 0);
   CHECK(ProblemsOf("{\"a\": 1,\n\"a\": 2}") ==
