--- a/testing/integration/promise_test_fleet.cc
+++ b/testing/integration/promise_test_fleet.cc
@@ -123,9 +123,11 @@
           fleet.Send(i % kInstances, id, http::verb::post, "/unsafe/1");
       REQUIRE(reply);
       status = reply.value().status;
-      const std::lock_guard<std::mutex> lock(mutex);
-      CAPTURE(id, tries, status, reply.value().body);
-      CHECK((!PromisesNotRun(status) || runs[id] == 0));
+      {
+        const std::lock_guard<std::mutex> lock(mutex);
+        CAPTURE(id, tries, status, reply.value().body);
+        CHECK((!PromisesNotRun(status) || runs[id] == 0));
+      }
       std::this_thread::sleep_for(kShedTime);
     }
     served += status == 200 ? 1 : 0;
