--- a/testing/integration/delivery_test_fleet.cc
+++ b/testing/integration/delivery_test_fleet.cc
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <map>
+#include <random>
 #include <thread>
 
 #include "framework/settings/endpoint.h"
@@ -147,6 +148,38 @@
   CHECK(PartOk(report) > 0.8);
 }
 
+// Guards against work done twice, or told "not run", while the processes that
+// own keys are replaced at their addresses and stand still.
+TEST_CASE("entries are replaced and paused with keyed requests in flight") {
+  constexpr int kSeed = 42;
+  constexpr int kFaults = 12;
+  constexpr Milliseconds kBetweenFaults{400};
+  constexpr Milliseconds kStartTime{1'500};
+  std::mt19937_64 random(kSeed);
+  Fleet fleet(SmallPlan(3, 2, kRate, kBurst));
+  fleet.Start();
+  fleet.SetTargets({{"service_ms", 30}});
+  const std::string key = fleet.IssueKey("alpha");
+  const std::unique_ptr<Process> load =
+      fleet.BeginLoad(FleetLoad(key, 3, 150, 16'000), "replaced");
+  std::this_thread::sleep_for(kStartTime);
+  for (int i = 0; i < kFaults; ++i) {
+    FleetEntry& entry = fleet.entries()[random() % fleet.entries().size()];
+    if (random() % 2 == 0) {
+      entry.process->Signal(SIGSTOP);
+      std::this_thread::sleep_for(kBetweenFaults);
+      entry.process->Signal(SIGCONT);
+    } else {
+      entry.process->Kill();
+      fleet.StartEntry(entry);
+    }
+    std::this_thread::sleep_for(kBetweenFaults);
+  }
+  const json report = fleet.EndLoad(*load, "replaced");
+  CheckSound(report);
+  CHECK(PartOk(report) > 0.8);
+}
+
 TEST_CASE(
     "a key is replayed, fits one request, and is forwarded to its owner") {
   Fleet fleet(SmallPlan(2, 2, kRate, kBurst));
