--- a/testing/fuzz/fuzz.cc
+++ b/testing/fuzz/fuzz.cc
@@ -1,5 +1,6 @@
 // redwing-fuzz: seeded mutation of everything that comes from outside: request
-// heads, settings, documents, peer messages. Meant to run with sanitizers.
+// heads, settings, documents, peer messages, and what sockets receive. Meant to
+// run with sanitizers.
 
 #include <fmt/format.h>
 
@@ -38,12 +39,15 @@
 #include "steering/section_parser.h"
 #include "steering/steering_document.h"
 #include "steering/usable_section.h"
+#include "testing/fuzz/socket_fuzz.h"
 
 namespace redwing::testing {
 
 namespace {
 
 constexpr size_t kMaxDecompressed = 1 << 20;  // bytes
+// A case at a socket takes as long as some others.
+constexpr int kCasesPerSocketCase = 10;
 constexpr const char* kSecret = "fuzz-secret-fuzz-secret";
 
 using Random = std::mt19937_64;
@@ -194,10 +198,10 @@
         "1}], \"services\": [{\"name\": \"s\", \"routes\": [{\"name\": \"a\", "
         "\"methods\": [\"GET\"], \"path_prefix\": \"/\"}], \"targets\": "
         "[]}]}}}",
+        R"({"sections": {"a~b/c": {"team": 1}}})",
         "{\"records\": [{\"id\": \"1\", \"salt\": \"2\", \"hash\": \"3\"}]}",
         "[{\"name\": \"a\", \"http\": \"127.0.0.1:1\"}]",
-        "{\"a\": {\"process\": \"p\", \"region\": \"r\", \"fleet\": 1, "
-        "\"in_region\": 2}}"}},
+        R"({"a": {"process": "p", "region": "r", "fleet": 1, "in_region": 2}})"}},
       {&FuzzMessage,
        {EncodePayload(heartbeat), EncodePayload(reply),
         EncodePayload(LeaseRequest{1, 2, "workspace/a", 0.5}),
@@ -237,6 +241,45 @@
   };
 }
 
+std::vector<std::string> RequestStreams() {
+  const std::string plain = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+  const std::string sized =
+      "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nabcde";
+  const std::string chunked =
+      "POST /c HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n3;x=\"y\"\r\nabc\r\n0\r\nT: "
+      "u\r\n\r\n";
+  return {plain + sized, sized + plain, chunked + plain};
+}
+
+std::vector<std::string> ResponseStreams() {
+  const std::string sized =
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: "
+      "5\r\nX-Redwing-Attempt: 1\r\n\r\nabcde";
+  const std::string chunked =
+      "HTTP/1.1 503 Busy\r\nRetry-After: 1.5\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n5;e=1\r\nabcde\r\n0\r\nT: u\r\n\r\n";
+  const std::string unframed =
+      "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nuntil the end";
+  return {sized, chunked, unframed};
+}
+
+// Returns whether any of the bytes were taken for a request and for a response.
+bool FuzzSockets(int cases, uint64_t seed, Random& random) {
+  const std::vector<std::string> requests = RequestStreams();
+  const std::vector<std::string> responses = ResponseStreams();
+  SocketFuzz sockets(seed);
+  for (int i = 0; i < cases; ++i) {
+    sockets.SendAsRequests(
+        Mutate(requests[random() % requests.size()], random));
+    sockets.SendAsResponse(
+        Mutate(responses[random() % responses.size()], random));
+  }
+  fmt::print("{} requests and {} responses were read at sockets\n",
+             sockets.requests(), sockets.responses());
+  return cases == 0 || (sockets.requests() > 0 && sockets.responses() > 0);
+}
+
 int Run(int argc, char** argv) {
   CLI::App app("Feeds mutated input to the parsers.");
   AddCommonOptions(app);
@@ -255,7 +298,11 @@
           Mutate(corpus.texts[random() % corpus.texts.size()], random));
     }
   }
-  fmt::print("{} cases of 5 kinds, seed {}: no fault\n", cases, seed);
+  if (!FuzzSockets(cases / kCasesPerSocketCase, seed, random)) {
+    return kExitFailed;
+  }
+  fmt::print("{} cases of 5 kinds, {} of 2 at sockets, seed {}: no fault\n",
+             cases, cases / kCasesPerSocketCase, seed);
   return kExitOk;
 }
 
