Let one target serve both cases of a refusal written once more

Found on rereading: both cases of promise_test_fleet wrote the same target, that refuses a request first and repeats its refusal before it runs the next one. RepeatingTarget serves both; what is checked, counted and expected is the same.

--- a/testing/integration/promise_test_fleet.cc
+++ b/testing/integration/promise_test_fleet.cc
@@ -47,26 +47,49 @@
          body;
 }
 
+// A target that refuses the first request with an id, and runs the next one
+// after it has written its last refusal on the connection once more.
+class RepeatingTarget {
+ public:
+  explicit RepeatingTarget(int status)
+      : status_(status), target_([this](const RawRequest& request) {
+          return Respond(request);
+        }) {}
+
+  std::string address() const { return target_.address(); }
+  int RunsOf(const std::string& id) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return runs_[id];
+  }
+
+ private:
+  std::string Respond(const RawRequest& request) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    std::string& refusal = refusals_[request.connection];
+    if (++sends_[request.id] == 1) {
+      refusal = Refusal(status_, request.id);
+      return refusal;
+    }
+    ++runs_[request.id];
+    return refusal + Success(request.id);
+  }
+
+  const int status_;
+  std::mutex mutex_;
+  std::map<std::string, int> sends_;
+  std::map<std::string, int> runs_;
+  // The last refusal on each connection.
+  std::map<int, std::string> refusals_;
+  RawTarget target_;
+};
+
 // Guards against an old refusal that is taken for the response to the next
 // attempt of the same request.
 TEST_CASE("a refusal written once more does not answer the next attempt") {
   constexpr int kRequests = 20;
   const int status = GENERATE(421, 503);
   CAPTURE(status);
-  std::mutex mutex;
-  std::map<std::string, int> sends;
-  std::map<std::string, int> runs;
-  std::map<int, std::string> refusals;
-  RawTarget target([&](const RawRequest& request) {
-    const std::lock_guard<std::mutex> lock(mutex);
-    std::string& refusal = refusals[request.connection];
-    if (++sends[request.id] == 1) {
-      refusal = Refusal(status, request.id);
-      return refusal;
-    }
-    ++runs[request.id];
-    return refusal + Success(request.id);
-  });
+  RepeatingTarget target(status);
   PlatformStandIn fleet(kInstances);
   REQUIRE(fleet.AwaitReady(kStartLimit));
   fleet.OnLoop([&]() {
@@ -81,9 +104,8 @@
     const Result<HttpReply> reply =
         fleet.Send(i % kInstances, id, http::verb::post, "/unsafe/1");
     REQUIRE(reply);
-    const std::lock_guard<std::mutex> lock(mutex);
     CAPTURE(id, reply.value().status, reply.value().body);
-    CHECK((!PromisesNotRun(reply.value().status) || runs[id] == 0));
+    CHECK((!PromisesNotRun(reply.value().status) || target.RunsOf(id) == 0));
     served += reply.value().status == 200 ? 1 : 0;
   }
   CHECK(served > 0);
@@ -93,20 +115,7 @@
 // which its caller sends again under the same id.
 TEST_CASE("a caller that returns under its id is not told its first refusal") {
   constexpr int kRequests = 20;
-  std::mutex mutex;
-  std::map<std::string, int> sends;
-  std::map<std::string, int> runs;
-  std::map<int, std::string> refusals;
-  RawTarget target([&](const RawRequest& request) {
-    const std::lock_guard<std::mutex> lock(mutex);
-    std::string& refusal = refusals[request.connection];
-    if (++sends[request.id] == 1) {
-      refusal = Refusal(503, request.id);
-      return refusal;
-    }
-    ++runs[request.id];
-    return refusal + Success(request.id);
-  });
+  RepeatingTarget target(503);
   PlatformStandIn fleet(kInstances);
   REQUIRE(fleet.AwaitReady(kStartLimit));
   fleet.OnLoop([&]() {
@@ -123,11 +132,8 @@
           fleet.Send(i % kInstances, id, http::verb::post, "/unsafe/1");
       REQUIRE(reply);
       status = reply.value().status;
-      {
-        const std::lock_guard<std::mutex> lock(mutex);
-        CAPTURE(id, tries, status, reply.value().body);
-        CHECK((!PromisesNotRun(status) || runs[id] == 0));
-      }
+      CAPTURE(id, tries, status, reply.value().body);
+      CHECK((!PromisesNotRun(status) || target.RunsOf(id) == 0));
       std::this_thread::sleep_for(kShedTime);
     }
     served += status == 200 ? 1 : 0;
