--- a/src/delivery/internal/attempt_end.h
+++ b/src/delivery/internal/attempt_end.h
@@ -17,6 +17,8 @@
   kNotSent,
   // The request was written, at least in part; no response header arrived.
   kNoResponse,
+  // Bytes arrived that are no response.
+  kMalformedResponse,
   // The response belongs to another attempt.
   kForeignResponse,
   // The target states that it did not run the request.
--- a/src/delivery/internal/upstream_attempt.cc
+++ b/src/delivery/internal/upstream_attempt.cc
@@ -27,8 +27,7 @@
 constexpr size_t kAttemptIdBytes = 8;
 constexpr Milliseconds kBodyIdleTimeout{10'000};
 constexpr Milliseconds kMaxBodyTime{600'000};
-// Bounds of reading the body of a response that is discarded; it is only read
-// to keep the connection.
+// Bounds of discarding a body, which is read only to keep the connection.
 constexpr size_t kMaxSkippedBytes = 64 * 1024;  // bytes
 constexpr Milliseconds kMaxSkipTime{100};
 // Targets are a short round trip away, and there are others: a request that
@@ -166,10 +165,11 @@
        ++i) {
     read = connection_->ReadHeader(yield);
   }
+  responded_ = read || connection_->malformed();
   if (!read) {
+    trace_.end = responded_ ? AttemptEnd::kMalformedResponse : trace_.end;
     return read.error();
   }
-  responded_ = true;
   const ResponseHeader& header = connection_->response();
   trace_.status = header.result_int();
   digest_ =
@@ -196,10 +196,12 @@
   if (departed && plan_.on_departure) {
     plan_.on_departure(*departed);
   }
-  if (header.count(std::string(kVerdictField)) > 0) {
+  const bool unframed = connection_->undelimited();
+  if (!unframed && header.count(std::string(kVerdictField)) > 0) {
     return ReadRefusal(yield);
   }
-  trace_.end = EndOfInstanceResponse(header, plan_.runs_once);
+  trace_.end = unframed ? AttemptEnd::kUnframed
+                        : EndOfInstanceResponse(header, plan_.runs_once);
   if (trace_.end != AttemptEnd::kResponded) {
     connection_->Abort();
     return FailureOf(trace_.end);
@@ -212,9 +214,9 @@
   if (!dialect_.load.empty()) {
     load_ = TargetLoad::Parse(StdView(header[BeastView(dialect_.load)]));
   }
-  const bool unframed = connection_->undelimited() &&
-                        !connection_->body_done() &&
-                        !dialect_.accepts_unframed_responses;
+  const bool unframed =
+      connection_->undelimited() && !connection_->body_done() &&
+      (connection_->write_failed() || !dialect_.accepts_unframed_responses);
   const AttemptEnd end =
       EndOfTargetResponse(header, dialect_, plan_.runs_once, unframed);
   trace_.end = end;
--- a/src/delivery/internal/upstream_sender.cc
+++ b/src/delivery/internal/upstream_sender.cc
@@ -56,11 +56,12 @@
                      TimePoint begun) {
   return fmt::format(
       "outcome={} end={} verdict={} connection={} exchange={} status={} "
-      "took_ms={}",
+      "took_ms={}{}",
       result ? "answered" : ErrcName(result.error().errc),
       AttemptEndName(trace.end), VerdictName(VerdictOf(trace.end)),
       trace.connection, trace.exchange, trace.status,
-      std::chrono::duration_cast<Milliseconds>(Clock::now() - begun).count());
+      std::chrono::duration_cast<Milliseconds>(Clock::now() - begun).count(),
+      result ? "" : " reason=" + Quoted(result.error().detail));
 }
 
 AttemptOutcome OutcomeOf(const Result<void>& result,
@@ -233,11 +234,10 @@
   const Result<void> result = attempt.Run(delivery.body, delivery.exchange,
                                           delivery.cancellation, yield);
   if (!result) {
-    LogDecision(trail_, context.request_id,
-                fmt::format("event=hop request={} to={} {} reason={}",
-                            context.request_id, member.name,
-                            Describe(result, attempt.trace(), begun),
-                            Quoted(result.error().detail)));
+    LogDecision(
+        trail_, context.request_id,
+        fmt::format("event=hop request={} to={} {}", context.request_id,
+                    member.name, Describe(result, attempt.trace(), begun)));
   }
   delivery.connect_time = attempt.connect_time();
   if (result || !IsRefusedBeforeSending(result.error().errc)) {
--- a/src/delivery/tests/attempt_end_test.cc
+++ b/src/delivery/tests/attempt_end_test.cc
@@ -35,12 +35,13 @@
 // has said that it was not run.
 TEST_CASE("only what was not sent, or is stated, counts as not run") {
   for (const AttemptEnd end :
-       {AttemptEnd::kNoResponse, AttemptEnd::kForeignResponse,
-        AttemptEnd::kUnstatedRefusal, AttemptEnd::kContradiction,
-        AttemptEnd::kUnsigned, AttemptEnd::kUnframed,
-        AttemptEnd::kRefusedMayHaveRun, AttemptEnd::kRefusedRan,
-        AttemptEnd::kAlteredRefusal, AttemptEnd::kCutResponse,
-        AttemptEnd::kAlteredResponse, AttemptEnd::kResponded}) {
+       {AttemptEnd::kNoResponse, AttemptEnd::kMalformedResponse,
+        AttemptEnd::kForeignResponse, AttemptEnd::kUnstatedRefusal,
+        AttemptEnd::kContradiction, AttemptEnd::kUnsigned,
+        AttemptEnd::kUnframed, AttemptEnd::kRefusedMayHaveRun,
+        AttemptEnd::kRefusedRan, AttemptEnd::kAlteredRefusal,
+        AttemptEnd::kCutResponse, AttemptEnd::kAlteredResponse,
+        AttemptEnd::kResponded}) {
     CAPTURE(AttemptEndName(end));
     CHECK(VerdictOf(end) != Verdict::kNotRun);
     CHECK_FALSE(PromisesNotRun(RefusalHeader(FailureOf(end)).result_int()));
--- a/src/framework/http/http_connection.h
+++ b/src/framework/http/http_connection.h
@@ -61,7 +61,8 @@
                          bool last,
                          const Yield& yield);
 
-  // Reads the response's header; informational responses are skipped.
+  // Reads the response's header; interim responses are skipped. What no proxy
+  // may take for a response fails, as FindResponseProblem() says.
   Result<void> ReadHeader(const Yield& yield);
   // Prepares for reading another response, once the last one was read whole.
   void ExpectResponse();
@@ -73,7 +74,10 @@
   // Returns whether only the end of the connection would end the body, so that
   // a cut could not be told from the end.
   bool undelimited() const { return parser_->need_eof(); }
-  bool body_done() const { return parser_->is_done(); }
+  // Returns whether writing the request has failed. The end of an undelimited
+  // response is not proved any more.
+  bool write_failed() const { return write_failed_; }
+  bool body_done() const { return parser_->is_done() && !EndedByFailure(); }
   // Reads the next part of the body; 0 means its end.
   Result<size_t> ReadBody(char* data, size_t size, const Yield& yield);
 
@@ -88,9 +92,16 @@
   // Ends every running operation with an error.
   void Abort() { socket_.Close(); }
   bool timed_out() const { return socket_.timed_out(); }
+  // Returns whether bytes arrived that are no response.
+  bool malformed() const { return malformed_; }
 
  private:
-  Failure Broken(const boost::system::error_code& ec) const;
+  Failure Broken(const boost::system::error_code& ec);
+  Failure Malformed(std::string_view reason);
+  // Returns whether the end of the connection has ended the body though an
+  // operation had failed before: the system reports a reset once, and an
+  // orderly end afterwards.
+  bool EndedByFailure() const;
 
   const uint64_t id_;
   SocketRegistry& sockets_;
@@ -103,6 +114,8 @@
   CarriedIds carried_ids_;
   int exchanges_ = 0;
   bool request_sent_ = false;
+  bool write_failed_ = false;
+  bool malformed_ = false;
   bool head_request_ = false;
   bool carried_head_ = false;
 };
--- a/src/framework/http/http_exchange.h
+++ b/src/framework/http/http_exchange.h
@@ -118,6 +118,8 @@
   bool continue_sent_ = false;
   bool response_begun_ = false;
   bool response_complete_ = false;
+  // Whether only the end of the connection ends the response's body.
+  bool ends_with_connection_ = false;
   bool broken_ = false;
   bool keep_alive_ = true;
 };
--- a/src/framework/http/internal/http_connection.cc
+++ b/src/framework/http/internal/http_connection.cc
@@ -1,5 +1,6 @@
 #include "framework/http/http_connection.h"
 
+#include <fmt/format.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
@@ -8,6 +9,7 @@
 #include <boost/beast/http/write.hpp>
 #include <limits>
 
+#include "framework/http/header_check.h"
 #include "framework/http/socket_registry.h"
 #include "framework/log/log.h"
 
@@ -26,6 +28,8 @@
 // Beast reads as much as the buffer has room for: 512 bytes unless told.
 constexpr size_t kHeaderBuffer = 2 * 1024;  // bytes
 constexpr size_t kBodyBuffer = 16 * 1024;   // bytes
+constexpr unsigned kMinFinalStatus = 200;
+constexpr int kMaxInterimResponses = 16;
 static_assert(kResponseHeaderLimit + kBodyBuffer <=
               HttpConnection::kMaxBuffered);
 
@@ -107,6 +111,7 @@
   boost::system::error_code ec;
   http::async_write(socket_.socket(), *serializer_, yield[ec]);
   if (ec && ec != http::error::need_buffer) {
+    write_failed_ = true;
     return Broken(ec);
   }
   request_sent_ = last;
@@ -115,17 +120,21 @@
 
 Result<void> HttpConnection::ReadHeader(const Yield& yield) {
   boost::system::error_code ec;
-  while (true) {
+  for (int i = 0; i <= kMaxInterimResponses; ++i) {
     http::async_read_header(socket_.socket(), buffer_, *parser_, yield[ec]);
     if (ec) {
       return Broken(ec);
     }
-    const unsigned status = parser_->get().result_int();
-    if (status >= 200) {
+    const std::optional<std::string> problem = FindResponseProblem(response());
+    if (problem) {
+      return Malformed(*problem);
+    }
+    if (response().result_int() >= kMinFinalStatus) {
       return boost::outcome_v2::success();
     }
     ExpectResponse();
   }
+  return Malformed("too many interim responses");
 }
 
 void HttpConnection::ExpectResponse() {
@@ -143,7 +152,7 @@
 Result<size_t> HttpConnection::ReadBody(char* data,
                                         size_t size,
                                         const Yield& yield) {
-  if (parser_->is_done()) {
+  if (body_done()) {
     return 0;
   }
   buffer_.reserve(kBodyBuffer);
@@ -156,20 +165,40 @@
   if (ec && ec != http::error::need_buffer) {
     return Broken(ec);
   }
+  if (EndedByFailure()) {
+    return MayHaveRun(Errc::kTargetBroken,
+                      "the connection failed before the end of the response");
+  }
   return size - parser_->get().body().size;
 }
 
 bool HttpConnection::reusable() {
-  return socket_.socket().is_open() && request_sent_ && parser_ &&
-         parser_->is_done() && parser_->keep_alive() && buffer_.size() == 0 &&
-         !carried_ids_.full() && socket_.IsQuiet();
+  return socket_.socket().is_open() && request_sent_ && !malformed_ &&
+         parser_ && body_done() && parser_->keep_alive() &&
+         buffer_.size() == 0 && !carried_ids_.full() && socket_.IsQuiet();
 }
 
-Failure HttpConnection::Broken(const boost::system::error_code& ec) const {
+Failure HttpConnection::Broken(const boost::system::error_code& ec) {
   if (socket_.timed_out()) {
     return MayHaveRun(Errc::kTargetTimeout, "no answer before the deadline");
   }
+  const bool ended =
+      ec == http::error::end_of_stream || ec == http::error::partial_message;
+  if (ec.category() == make_error_code(http::error::bad_status).category() &&
+      !ended) {
+    return Malformed(ec.message());
+  }
   return MayHaveRun(Errc::kTargetBroken, ec.message());
 }
 
+Failure HttpConnection::Malformed(std::string_view reason) {
+  malformed_ = true;
+  return MayHaveRun(Errc::kTargetBroken,
+                    fmt::format("malformed response: {}", reason));
+}
+
+bool HttpConnection::EndedByFailure() const {
+  return write_failed_ && parser_->is_done() && parser_->need_eof();
+}
+
 }  // namespace redwing
--- a/src/framework/http/internal/http_exchange.cc
+++ b/src/framework/http/internal/http_exchange.cc
@@ -150,6 +150,10 @@
   }
   serializer_.emplace(*response_);
   response_begun_ = true;
+  ends_with_connection_ = !has_length && !chunked && !bodiless;
+  if (ends_with_connection_) {
+    socket_.ResetOnClose(true);
+  }
 }
 
 bool HttpExchange::WriteBody(const char* data,
@@ -180,6 +184,9 @@
     written = Write(yield);
   }
   response_complete_ = last && written;
+  if (response_complete_ && ends_with_connection_) {
+    socket_.ResetOnClose(false);
+  }
   if (!written) {
     Break();
   }
--- a/src/framework/http/internal/timed_socket.cc
+++ b/src/framework/http/internal/timed_socket.cc
@@ -23,9 +23,17 @@
   socket_.close(ignored);
 }
 
+void TimedSocket::ResetOnClose(bool reset) {
+  boost::system::error_code ignored;
+  socket_.set_option(boost::asio::socket_base::linger(reset, 0), ignored);
+}
+
 bool TimedSocket::PeerHasClosed() {
   char byte = 0;
-  return recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+  const ssize_t size =
+      recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  // A reset is reported once: later reads would see an orderly end.
+  return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
 bool TimedSocket::IsQuiet() {
--- a/src/framework/http/timed_socket.h
+++ b/src/framework/http/timed_socket.h
@@ -26,6 +26,9 @@
   bool timed_out() const { return timed_out_; }
 
   void Close();
+  // Makes each close of the socket, also by the end of the process, a reset:
+  // the peer cannot take it for an orderly end.
+  void ResetOnClose(bool reset);
 
   // Returns whether the peer still holds its side open and has sent nothing.
   bool IsQuiet();
--- a/testing/fuzz/fuzz.cc
+++ b/testing/fuzz/fuzz.cc
@@ -261,10 +261,17 @@
       "chunked\r\n\r\n5;e=1\r\nabcde\r\n0\r\nT: u\r\n\r\n";
   const std::string unframed =
       "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nuntil the end";
-  return {sized, chunked, unframed};
+  const std::string no_status =
+      "HTTP/1.1 000 OK\r\nContent-Length: 38\r\n\r\n"
+      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  const std::string coded =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, "
+      "chunked\r\n\r\n5\r\nabcde\r\n0\r\n\r\n";
+  return {sized, chunked, unframed, no_status, coded};
 }
 
-// Returns whether any of the bytes were taken for a request and for a response.
+// Returns whether some bytes were taken for a request and for a response, and
+// none for a response that no caller may get.
 bool FuzzSockets(int cases, uint64_t seed, Random& random) {
   const std::vector<std::string> requests = RequestStreams();
   const std::vector<std::string> responses = ResponseStreams();
@@ -277,6 +284,11 @@
   }
   fmt::print("{} requests and {} responses were read at sockets\n",
              sockets.requests(), sockets.responses());
+  if (sockets.malformed_responses() > 0) {
+    fmt::print("{} of the responses are malformed\n",
+               sockets.malformed_responses());
+    return false;
+  }
   return cases == 0 || (sockets.requests() > 0 && sockets.responses() > 0);
 }
 
--- a/testing/fuzz/socket_fuzz.cc
+++ b/testing/fuzz/socket_fuzz.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 
 #include "framework/http/http_connection.h"
 #include "framework/http/http_exchange.h"
@@ -38,6 +39,15 @@
   int& requests_;
 };
 
+// Returns whether no caller may get the response.
+bool IsMalformed(const ResponseHeader& header) {
+  const std::string_view coding =
+      StdView(header[http::field::transfer_encoding]);
+  return header.result_int() < 200 || header.result_int() > 599 ||
+         (!coding.empty() &&
+          !boost::beast::iequals(BeastView(coding), "chunked"));
+}
+
 // Reads until the other side has closed.
 void ReadToEnd(tcp::socket& socket, const Yield& yield) {
   std::array<char, kReadSize> ignored{};
@@ -103,6 +113,7 @@
                                        yield) &&
                connection.ReadHeader(yield)) {
       ++responses_;
+      malformed_responses_ += IsMalformed(connection.response()) ? 1 : 0;
       std::string piece(kReadSize, '\0');
       Result<size_t> size = piece.size();
       while (size && size.value() > 0) {
--- a/testing/fuzz/socket_fuzz.h
+++ b/testing/fuzz/socket_fuzz.h
@@ -32,6 +32,8 @@
   // Requests that reached the handler, and responses whose head was read.
   int requests() const { return requests_; }
   int responses() const { return responses_; }
+  // Those of the responses that no caller may get.
+  int malformed_responses() const { return malformed_responses_; }
 
  private:
   // Writes the bytes and ends the sending side, or the connection.
@@ -49,6 +51,7 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   int requests_ = 0;
   int responses_ = 0;
+  int malformed_responses_ = 0;
 };
 
 }  // namespace redwing::testing
--- a/testing/platform_stand_in/raw_target.cc
+++ b/testing/platform_stand_in/raw_target.cc
@@ -96,6 +96,13 @@
          FieldOf(head, "X-Redwingcart-Target-Instance"), connection, number});
     buffer.erase(0, size);
     boost::asio::write(socket, boost::asio::buffer(bytes), ec);
+    if (reset_delay_ >= 0) {
+      std::this_thread::sleep_for(Milliseconds(reset_delay_));
+      socket.set_option(boost::asio::socket_base::linger(true, 0), ec);
+      const std::lock_guard<std::mutex> lock(mutex_);
+      socket.close(ec);
+      return;
+    }
     if (!ec && !filler_.empty()) {
       WriteWithoutEnd(socket, filler_, block_size_, pause_);
     }
--- a/testing/platform_stand_in/raw_target.h
+++ b/testing/platform_stand_in/raw_target.h
@@ -44,6 +44,9 @@
   RawTarget& operator=(const RawTarget&) = delete;
 
   std::string address() const;
+  // From now on, each response is followed by a reset of its connection after
+  // `delay`. What is left of the request is not read.
+  void ResetAfterResponse(Milliseconds delay) { reset_delay_ = delay.count(); }
   // Closes all connections, as the end of the target's process does.
   void CloseConnections();
 
@@ -71,6 +74,8 @@
   Milliseconds pause_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::atomic<bool> stopped_ = false;
+  // In milliseconds; negative if connections are not reset.
+  std::atomic<int64_t> reset_delay_ = -1;
   std::mutex mutex_;
   std::list<Socket> sockets_;
   std::vector<std::thread> connections_;
