--- a/src/config/tests/watcher_candidacy_test.cc
+++ b/src/config/tests/watcher_candidacy_test.cc
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 #include <functional>
 #include <random>
+#include <utility>
 #include <vector>
 
 #include "framework/kernel/clock.h"
@@ -41,7 +42,8 @@
 
 class Region {
  public:
-  Region(size_t size, Store store) : instances_(size), store_(store) {
+  Region(size_t size, Store store)
+      : instances_(size), store_(std::move(store)) {
     for (size_t i = 0; i < size; ++i) {
       // The first instance is the first choice.
       instances_[i].score = size - i;
