--- a/src/config/internal/document_config.cc
+++ b/src/config/internal/document_config.cc
@@ -34,6 +34,7 @@
       document_(operator_document_) {
   state_->on_applied().Subscribe(
       [this](const StateEntry& entry) { HandleEntry(entry); });
+  state_->on_complete().Subscribe([this]() { on_change_.Notify(); });
 }
 
 void DocumentConfig::Attach(std::shared_ptr<Membership> membership) {
--- a/src/config/internal/replicated_state.cc
+++ b/src/config/internal/replicated_state.cc
@@ -97,6 +97,7 @@
   if (!complete_) {
     complete_ = true;
     spdlog::info("event=state_complete entries={}", entries_.size());
+    on_complete_.Notify();
   }
 }
 
--- a/src/config/replicated_state.h
+++ b/src/config/replicated_state.h
@@ -61,6 +61,8 @@
 
   // Notifies subscribers of each entry that was stored.
   Channel<StateEntry>& on_applied() { return on_applied_; }
+  // Notifies subscribers once the state has become complete.
+  Channel<>& on_complete() { return on_complete_; }
 
  private:
   Metrics& metrics_;
@@ -70,6 +72,7 @@
   RestoreHold hold_;
   bool complete_ = false;
   Channel<StateEntry> on_applied_;
+  Channel<> on_complete_;
 };
 
 }  // namespace redwing
--- a/src/config/steering_config.h
+++ b/src/config/steering_config.h
@@ -29,7 +29,7 @@
   // so that requests may be served.
   virtual bool ready() const = 0;
   // Notifies subscribers after the document, the API keys, the drains or the
-  // listing changed.
+  // listing changed, and once the state has become complete.
   virtual Channel<>& on_change() = 0;
 };
 
